Lay out layers, build, checks and the shared HTTP and table code

Cause: the project needs one frame in which its programs can be built side by side. Ruled out: one shared event loop with strands for each connection, since every exchange would then cross threads; each worker thread has its own loop instead. Change: CMake build, formatter, linter and layer checks; HTTP server and pooled client on Beast; client for the platform's table with retry budget and circuit breaker; located JSON reader; job records and error table; skeleton of the three server programs.

--- /dev/null
+++ b/scripts/check_layers.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Fails when a lower layer includes a higher one: programs > coordination > protocol > transport, and all may use state.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+failed=0
+check() {
+  local folder=$1 forbidden=$2
+  if grep -rnE "#include \"($forbidden)/" "src/$folder"; then
+    echo "src/$folder must not include: $forbidden"
+    failed=1
+  fi
+}
+check state 'transport|protocol|coordination|programs'
+check transport 'protocol|coordination|programs'
+check protocol 'coordination|programs'
+check coordination 'programs'
+exit $failed
--- /dev/null
+++ b/src/coordination/config_keeper.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "protocol/table_client.h"
+#include "state/config/cluster_config.h"
+#include "state/ranked_mutex.h"
+
+namespace hickorystall::coordination {
+
+/// Settings of the configuration keeper.
+struct config_keeper_settings {
+  /// Interval at which the head row is read.
+  std::chrono::milliseconds poll_interval{1000};
+  /// Time without contact to the store or a peer after which the instance is not ready.
+  std::chrono::milliseconds contact_limit{3000};
+};
+
+/// Holds the configuration in force. It only ever moves to a higher version, whether that comes from the
+/// table or from a peer. Thread-safe.
+class config_keeper {
+ public:
+  using config_ptr = std::shared_ptr<const state::versioned_config>;
+  using listener = std::function<void(const config_ptr&)>;
+
+  /// `table` must outlive the keeper.
+  config_keeper(protocol::table_client& table, config_keeper_settings settings);
+
+  /// The configuration in force; null before the first.
+  config_ptr current() const;
+  /// Version in force; 0 before the first.
+  std::int64_t version() const;
+  /// Adopts `text` as `version` when it is higher than the one in force and valid. Returns true when adopted.
+  bool Offer(std::int64_t version, std::string text);
+  /// Records that a peer was heard from at `now`.
+  void RecordPeerContact(std::chrono::steady_clock::time_point now);
+  /// True when a configuration is held and the store or a peer was heard from within the contact limit.
+  bool IsReady(std::chrono::steady_clock::time_point now) const;
+  /// Calls `on_change` after each adoption, on the thread that adopted. Add listeners before Run.
+  void AddListener(listener on_change);
+
+  /// Polls the table until `stop` returns true.
+  boost::asio::awaitable<void> Run(std::function<bool()> stop);
+
+ private:
+  boost::asio::awaitable<void> PollOnce();
+  void RecordStoreContact(std::chrono::steady_clock::time_point now);
+
+  protocol::table_client& table_;
+  const config_keeper_settings settings_;
+  // Guards the members below.
+  mutable state::ranked_mutex mutex_{state::lock_rank::kConfig};
+  config_ptr current_;
+  std::chrono::steady_clock::time_point last_contact_;
+  std::vector<listener> listeners_;
+};
+
+}  // namespace hickorystall::coordination
--- /dev/null
+++ b/src/programs/common/server_program.cpp
@@ -0,0 +1,142 @@
+#include "programs/common/server_program.h"
+
+#include <glog/logging.h>
+#include <signal.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <thread>
+
+#include "protocol/error_response.h"
+#include "protocol/token_hash.h"
+
+namespace hickorystall::programs::common {
+
+namespace asio = boost::asio;
+using clock = std::chrono::steady_clock;
+
+namespace {
+
+// Interval at which a stop looks whether the last request has been answered.
+constexpr std::chrono::milliseconds kDrainCheck{10};
+
+}  // namespace
+
+void InitializeProcess(const char* program) {
+  std::signal(SIGPIPE, SIG_IGN);
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(program);
+}
+
+server_program::server_program(std::string prefix, server_settings settings)
+    : prefix_(std::move(prefix)),
+      settings_(std::move(settings)),
+      pool_(static_cast<std::size_t>(settings_.worker_threads)),
+      http_(pool_, {}),
+      platform_(http_, settings_.platform),
+      config_(platform_, settings_.config) {}
+
+server_program::~server_program() { pool_.Stop(); }
+
+void server_program::AddDump(std::string name, std::function<nlohmann::json()> dump) {
+  dumps_.emplace_back(std::move(name), std::move(dump));
+}
+
+bool server_program::IsOperator(const transport::http_request& request) const {
+  const std::string_view token = protocol::BearerToken(request.Header("Authorization"));
+  return !token.empty() && protocol::TokenMatches(token, settings_.operator_token_sha256);
+}
+
+asio::awaitable<transport::http_response> server_program::Route(transport::http_request request) {
+  const std::string_view path = request.path();
+  if (path == "/live") co_return transport::JsonResponse(200, "{\"live\":true}");
+  if (path == "/ready") co_return AnswerReady();
+  if (path == "/metrics")
+    co_return transport::http_response{200, {{"Content-Type", "text/plain"}}, metrics_ ? metrics_() : ""};
+  if (path == "/dump") co_return AnswerDump(request);
+  if (!handle_) co_return protocol::MakeErrorResponse(state::error_kind::kNotFound, "no such path");
+  co_return co_await handle_(std::move(request));
+}
+
+transport::http_response server_program::AnswerReady() const {
+  if (stopping_) return protocol::MakeErrorResponse(state::error_kind::kNotReady, "stopping");
+  if (!config_.IsReady(clock::now())) {
+    return protocol::MakeErrorResponse(state::error_kind::kNotReady,
+                                       "no configuration or no contact to store and peers");
+  }
+  for (const auto& is_ready : readiness_) {
+    if (!is_ready()) return protocol::MakeErrorResponse(state::error_kind::kNotReady, "starting");
+  }
+  return transport::JsonResponse(
+      200, nlohmann::json{{"ready", true}, {"config_version", config_.version()}}.dump());
+}
+
+transport::http_response server_program::AnswerDump(const transport::http_request& request) const {
+  if (!IsOperator(request)) {
+    return protocol::MakeErrorResponse(state::error_kind::kUnauthorized, "the dump needs the operator token");
+  }
+  nlohmann::json dump = {{"instance", settings_.instance},
+                         {"vm", settings_.vm},
+                         {"failure_domain", settings_.failure_domain},
+                         {"region", settings_.region},
+                         {"version", HICKORYSTALL_VERSION},
+                         {"config_version", config_.version()},
+                         {"stopping", stopping_.load()}};
+  const protocol::platform_counters counters = platform_.counters();
+  dump["platform"] = {{"available", platform_.available()},
+                      {"calls", counters.calls},
+                      {"attempts", counters.attempts},
+                      {"refused_by_breaker", counters.refused_by_breaker}};
+  for (const auto& [name, make] : dumps_) dump[name] = make();
+  return transport::JsonResponse(200, dump.dump(2));
+}
+
+int server_program::Run() {
+  server_ = std::make_unique<transport::http_server>(
+      pool_, settings_.http, [this](transport::http_request request) { return Route(std::move(request)); },
+      protocol::MakeReadFailureResponse);
+  const absl::Status started = server_->Start();
+  if (!started.ok()) {
+    LOG(ERROR) << prefix_ << ": " << started.message();
+    return 1;
+  }
+  AddTask([this] { return config_.Run([this] { return stopping(); }); });
+  for (const auto& task : tasks_) {
+    ++running_tasks_;
+    asio::co_spawn(pool_.next(), task, [this](const std::exception_ptr& failure) {
+      CHECK(failure == nullptr) << prefix_ << ": a background task ended with an exception";
+      --running_tasks_;
+    });
+  }
+  pool_.Start();
+  LOG(INFO) << prefix_ << ": instance " << settings_.instance << " listens on port " << server_->port();
+  WaitForSignal();
+  StopGracefully();
+  return 0;
+}
+
+void server_program::WaitForSignal() {
+  asio::io_context context;
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([](const boost::system::error_code&, int) {});
+  context.run();
+}
+
+void server_program::StopGracefully() {
+  LOG(INFO) << prefix_ << ": stopping, not ready from now on";
+  stopping_ = true;
+  server_->BeginDrain();
+  std::this_thread::sleep_for(settings_.drain_notice);
+  server_->StopAccepting();
+  const clock::time_point limit = clock::now() + settings_.drain_limit;
+  while (server_->requests_in_flight() > 0 && clock::now() < limit) std::this_thread::sleep_for(kDrainCheck);
+  LOG_IF(WARNING, server_->requests_in_flight() > 0)
+      << prefix_ << ": " << server_->requests_in_flight() << " requests were cut off at the drain limit";
+  for (const auto& action : stop_actions_) action();
+  while (running_tasks_ > 0 && clock::now() < limit) std::this_thread::sleep_for(kDrainCheck);
+  pool_.Stop();
+  LOG(INFO) << prefix_ << ": stopped";
+}
+
+}  // namespace hickorystall::programs::common
--- /dev/null
+++ b/src/programs/common/server_program.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "coordination/config_keeper.h"
+#include "programs/common/server_settings.h"
+#include "protocol/table_client.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+#include "transport/worker_pool.h"
+
+namespace hickorystall::programs::common {
+
+/// The parts that every server program shares: event loops, HTTP server with the common paths, clients,
+/// configuration and the order of a graceful stop.
+class server_program {
+ public:
+  /// `prefix` starts each log line of this class, such as "gateway".
+  server_program(std::string prefix, server_settings settings);
+  ~server_program();
+  server_program(const server_program&) = delete;
+  server_program& operator=(const server_program&) = delete;
+
+  transport::worker_pool& pool() { return pool_; }
+  transport::http_client& http() { return http_; }
+  protocol::platform_client& platform() { return platform_; }
+  coordination::config_keeper& config() { return config_; }
+  const server_settings& settings() const { return settings_; }
+
+  /// Handles every path besides the common ones. Set before Run.
+  void SetHandler(transport::http_server::handler handle) { handle_ = std::move(handle); }
+  /// Adds a condition that must hold for /ready. Add before Run.
+  void AddReadiness(std::function<bool()> is_ready) { readiness_.push_back(std::move(is_ready)); }
+  /// Adds a part of the state dump under `name`. Add before Run.
+  void AddDump(std::string name, std::function<nlohmann::json()> dump);
+  /// Sets the text of /metrics (Prometheus text format). Set before Run.
+  void SetMetrics(std::function<std::string()> metrics) { metrics_ = std::move(metrics); }
+  /// Adds an action for the stop, run in order after the last request in flight was answered.
+  void AddStopAction(std::function<void()> action) { stop_actions_.push_back(std::move(action)); }
+  /// Starts a coroutine on one of the loops when Run begins; it must end soon after stopping() turns true.
+  void AddTask(std::function<boost::asio::awaitable<void>()> task) { tasks_.push_back(std::move(task)); }
+
+  /// True from the signal to stop.
+  bool stopping() const { return stopping_; }
+  /// True when the request carries the operator token.
+  bool IsOperator(const transport::http_request& request) const;
+
+  /// Serves until SIGTERM or SIGINT, stops gracefully and returns the exit status.
+  int Run();
+
+ private:
+  boost::asio::awaitable<transport::http_response> Route(transport::http_request request);
+  transport::http_response AnswerReady() const;
+  transport::http_response AnswerDump(const transport::http_request& request) const;
+  void WaitForSignal();
+  void StopGracefully();
+
+  const std::string prefix_;
+  const server_settings settings_;
+  transport::worker_pool pool_;
+  transport::http_client http_;
+  protocol::platform_client platform_;
+  coordination::config_keeper config_;
+  transport::http_server::handler handle_;
+  std::vector<std::function<bool()>> readiness_;
+  std::vector<std::pair<std::string, std::function<nlohmann::json()>>> dumps_;
+  std::function<std::string()> metrics_;
+  std::vector<std::function<void()>> stop_actions_;
+  std::vector<std::function<boost::asio::awaitable<void>()>> tasks_;
+  std::atomic<int> running_tasks_{0};
+  std::atomic<bool> stopping_{false};
+  std::unique_ptr<transport::http_server> server_;
+};
+
+/// Runs the start of a server program: command line, settings, logs. `parse` makes the program's settings
+/// from the text and adds errors; `run` builds the program from them and returns the exit status.
+template <typename Settings>
+int RunServerProgram(int argc, char** argv, std::string_view name, std::string_view description,
+                     Settings (*parse)(std::string_view text, std::vector<state::document_error>& errors),
+                     int (*run)(Settings settings));
+
+/// Prepares logging on standard error and ignores SIGPIPE.
+void InitializeProcess(const char* program);
+
+}  // namespace hickorystall::programs::common
+
+#include "programs/common/server_program_main.h"
--- /dev/null
+++ b/src/programs/gateway/main.cpp
@@ -0,0 +1,29 @@
+#include "programs/common/server_program.h"
+
+namespace {
+
+using hickorystall::programs::common::server_program;
+using hickorystall::programs::common::server_settings;
+
+server_settings ParseSettings(std::string_view text,
+                              std::vector<hickorystall::state::document_error>& errors) {
+  const hickorystall::state::located_json document = hickorystall::state::ParseLocatedJson(text);
+  errors = document.errors;
+  if (document.value.is_discarded()) return {};
+  hickorystall::state::object_reader reader(document, document.value, "", errors);
+  server_settings settings = hickorystall::programs::common::ReadServerSettings(reader, document, errors);
+  reader.Finish();
+  return settings;
+}
+
+int RunProgram(server_settings settings) {
+  server_program program("gateway", std::move(settings));
+  return program.Run();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return hickorystall::programs::common::RunServerProgram<server_settings>(
+      argc, argv, "hickorystall-gateway", "hickorystall gateway", ParseSettings, RunProgram);
+}
--- /dev/null
+++ b/src/state/error_kind.cpp
@@ -0,0 +1,67 @@
+#include "state/error_kind.h"
+
+#include <array>
+#include <cassert>
+#include <cstddef>
+
+namespace hickorystall::state {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kNever{0};
+
+// Ordered like error_kind. The only place that chooses an answer's status.
+constexpr std::array kAnswers{
+    error_answer{error_kind::kBadRequest, "bad_request", 400, execution::kNo, kNever},
+    error_answer{error_kind::kBodyTooLarge, "body_too_large", 413, execution::kNo, kNever},
+    error_answer{error_kind::kHeadersTooLarge, "headers_too_large", 431, execution::kNo, kNever},
+    error_answer{error_kind::kRequestTimeout, "request_timeout", 408, execution::kNo, kNever},
+    error_answer{error_kind::kUnauthorized, "unauthorized", 401, execution::kNo, kNever},
+    error_answer{error_kind::kForbidden, "forbidden", 403, execution::kNo, kNever},
+    error_answer{error_kind::kNotFound, "not_found", 404, execution::kNo, kNever},
+    error_answer{error_kind::kMethodNotAllowed, "method_not_allowed", 405, execution::kNo, kNever},
+    error_answer{error_kind::kUnknownKind, "unknown_kind", 404, execution::kNo, kNever},
+    error_answer{error_kind::kMissingIdempotencyKey, "missing_idempotency_key", 400, execution::kNo, kNever},
+    error_answer{error_kind::kIdempotencyKeyReused, "idempotency_key_reused", 422, execution::kNo, kNever},
+    error_answer{error_kind::kDuplicateInProgress, "duplicate_in_progress", 409, execution::kUnknown,
+                 milliseconds{1000}},
+    error_answer{error_kind::kRateLimited, "rate_limited", 429, execution::kNo, milliseconds{1000}},
+    error_answer{error_kind::kOverloaded, "overloaded", 503, execution::kNo, milliseconds{1000}},
+    error_answer{error_kind::kQuotaExceeded, "quota_exceeded", 429, execution::kNo, milliseconds{5000}},
+    error_answer{error_kind::kJobImpossible, "job_impossible", 422, execution::kNo, kNever},
+    error_answer{error_kind::kJobMissesDeadline, "job_misses_deadline", 422, execution::kNo, kNever},
+    error_answer{error_kind::kInvalidConfiguration, "invalid_configuration", 422, execution::kNo, kNever},
+    error_answer{error_kind::kVersionConflict, "version_conflict", 409, execution::kNo, kNever},
+    error_answer{error_kind::kStoreUnavailable, "store_unavailable", 503, execution::kNo, milliseconds{2000}},
+    error_answer{error_kind::kNoTarget, "no_target", 503, execution::kNo, milliseconds{1000}},
+    error_answer{error_kind::kTargetFailed, "target_failed", 502, execution::kYes, kNever},
+    error_answer{error_kind::kOutcomeUnknown, "outcome_unknown", 504, execution::kUnknown,
+                 milliseconds{1000}},
+    error_answer{error_kind::kCancelled, "cancelled", 409, execution::kNo, kNever},
+    error_answer{error_kind::kDeadlineExceeded, "deadline_exceeded", 504, execution::kUnknown, kNever},
+    error_answer{error_kind::kNotReady, "not_ready", 503, execution::kNo, milliseconds{1000}},
+    error_answer{error_kind::kInternal, "internal", 500, execution::kUnknown, kNever},
+};
+
+}  // namespace
+
+const error_answer& AnswerFor(error_kind kind) {
+  const auto index = static_cast<std::size_t>(kind);
+  assert(index < kAnswers.size() && kAnswers[index].kind == kind);
+  return kAnswers[index];
+}
+
+std::string_view ExecutionName(execution ran) {
+  switch (ran) {
+    case execution::kNo:
+      return "no";
+    case execution::kYes:
+      return "yes";
+    case execution::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace hickorystall::state
--- /dev/null
+++ b/tests/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/transport/http_test.cpp
@@ -0,0 +1,75 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
+#include <catch2/catch.hpp>
+
+#include "protocol/error_response.h"
+#include "transport/async_event.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+
+namespace hickorystall::transport {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// A server that echoes bodies, and a client in the same process.
+struct echo_fixture {
+  echo_fixture() : pool(2), client(pool, {}) {
+    http_server_settings settings;
+    settings.max_body_bytes = 1000;
+    server = std::make_unique<http_server>(
+        pool, settings,
+        [](http_request request) -> asio::awaitable<http_response> {
+          if (request.path() == "/slow") co_await Sleep(milliseconds(300));
+          co_return JsonResponse(200, request.body);
+        },
+        protocol::MakeReadFailureResponse);
+    REQUIRE(server->Start().ok());
+    pool.Start();
+    endpoint = "127.0.0.1:" + std::to_string(server->port());
+  }
+  ~echo_fixture() { pool.Stop(); }
+
+  http_exchange Send(http_request request, milliseconds timeout = milliseconds(2000)) {
+    return asio::co_spawn(pool.next(), client.Send(endpoint, std::move(request), timeout), asio::use_future)
+        .get();
+  }
+
+  worker_pool pool;
+  http_client client;
+  std::unique_ptr<http_server> server;
+  std::string endpoint;
+};
+
+TEST_CASE_METHOD(echo_fixture, "an exchange returns the whole body", "[http]") {
+  for (int i = 0; i < 20; ++i) {
+    const http_exchange exchange = Send({"POST", "/", {}, std::to_string(i)});
+    REQUIRE(exchange.status.ok());
+    CHECK(exchange.response.body == std::to_string(i));
+  }
+  CHECK(server->open_connections() <= 2);
+}
+
+TEST_CASE_METHOD(echo_fixture, "a late response is a deadline error with bytes sent", "[http]") {
+  const http_exchange exchange = Send({"POST", "/slow", {}, "x"}, milliseconds(50));
+  CHECK(absl::IsDeadlineExceeded(exchange.status));
+  CHECK(exchange.bytes_sent);
+}
+
+TEST_CASE_METHOD(echo_fixture, "an oversized body is refused with its kind", "[http]") {
+  const http_exchange exchange = Send({"POST", "/", {}, std::string(2000, 'x')});
+  REQUIRE(exchange.status.ok());
+  CHECK(exchange.response.status == 413);
+}
+
+// Guards against reporting that a request may have run when no byte of it left the process.
+TEST_CASE_METHOD(echo_fixture, "a refused connection sends no bytes", "[http]") {
+  endpoint = "127.0.0.1:1";
+  const http_exchange exchange = Send({"POST", "/", {}, "x"});
+  CHECK(absl::IsUnavailable(exchange.status));
+  CHECK_FALSE(exchange.bytes_sent);
+}
+
+}  // namespace
+}  // namespace hickorystall::transport
