--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -224,6 +224,7 @@
   client.stream.expires_never();
   const bool wants_keep_alive = parser.get().keep_alive();
   http_response response = co_await handle(TakeRequest(parser.release()));
+  if (response.status == 0) co_return false;
   co_return co_await Write(client, std::move(response), wants_keep_alive && !draining);
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -40,7 +40,8 @@
 /// An HTTP/1.1 server. Requests on one connection are answered in order; pipelining is supported.
 class http_server {
  public:
-  /// Answers one request. Runs on the event loop of its connection.
+  /// Answers one request. Runs on the event loop of its connection. A response with status 0 closes the
+  /// connection without an answer, for stand-ins that lose replies.
   using handler = std::function<boost::asio::awaitable<http_response>(http_request)>;
   /// Makes the answer to a request that could not be read.
   using failure_answer = std::function<http_response(read_failure)>;
