--- a/src/programs/common/server_settings.h
+++ b/src/programs/common/server_settings.h
@@ -29,6 +29,8 @@
   coordination::config_keeper_settings config;
   /// "ip:port" of the socket for peer messages.
   std::string peer_listen;
+  /// "ip:port" at which peers reach `peer_listen`; the same address unless something stands in between.
+  std::string peer_address;
   /// "ip:port" of peers to contact before the instance directory has been read.
   std::vector<std::string> seeds;
   /// Event loops, one thread each.
--- a/tests/support/harness/process.cpp
+++ b/tests/support/harness/process.cpp
@@ -8,9 +8,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cstdint>
 #include <cstdlib>
 #include <fstream>
-#include <set>
 #include <sstream>
 #include <stdexcept>
 #include <thread>
@@ -56,10 +56,11 @@
 process::process(const std::string& program, const std::vector<std::string>& arguments,
                  std::filesystem::path log_path)
     : log_path_(std::move(log_path)) {
-  const std::string path = std::string(HICKORYSTALL_BINARY_DIR) + "/" + program;
+  const std::string path = (std::filesystem::path(HICKORYSTALL_BINARY_DIR) / program).string();
   std::vector<std::string> words{path};
   words.insert(words.end(), arguments.begin(), arguments.end());
   std::vector<char*> argv;
+  argv.reserve(words.size() + 1);
   for (std::string& word : words) argv.push_back(word.data());
   argv.push_back(nullptr);
   posix_spawn_file_actions_t actions;
@@ -105,18 +106,20 @@
 }
 
 int FreePort() {
-  static std::set<int> given;
-  for (;;) {
+  // Below the default range of ephemeral ports, so that no outgoing connection takes the port meanwhile.
+  constexpr int kFirst = 10000;
+  constexpr int kCount = 22000;
+  // Test processes that run at the same time start their search far apart.
+  static int offset = static_cast<int>((static_cast<std::int64_t>(::getpid()) * 7919) % kCount);
+  for (int attempt = 0; attempt < kCount; ++attempt) {
+    offset = (offset + 1) % kCount;
+    const sockaddr_in address = LoopbackAddress(kFirst + offset);
     const scoped_socket probe;
-    sockaddr_in address = LoopbackAddress(0);
-    socklen_t length = sizeof(address);
-    if (::bind(probe.fd, reinterpret_cast<const sockaddr*>(&address), length) != 0 ||
-        ::getsockname(probe.fd, reinterpret_cast<sockaddr*>(&address), &length) != 0) {
-      throw std::runtime_error("cannot find a free port");
+    if (::bind(probe.fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0) {
+      return kFirst + offset;
     }
-    const int port = ntohs(address.sin_port);
-    if (given.insert(port).second) return port;
   }
+  throw std::runtime_error("no free port");
 }
 
 bool WaitForPort(int port, std::chrono::milliseconds timeout) {
--- a/tests/support/harness/test_http.cpp
+++ b/tests/support/harness/test_http.cpp
@@ -1,5 +1,6 @@
 #include "tests/support/harness/test_http.h"
 
+#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/connect.hpp>
@@ -59,6 +60,8 @@
       return result;
     }
     stream_->stream.socket().set_option(tcp::no_delay(true));
+    // A program that is started later must not hold the connection open.
+    ::fcntl(stream_->stream.socket().native_handle(), F_SETFD, FD_CLOEXEC);
   }
   http::request<http::string_body> message;
   message.version(11);
