Decide by guarantees, reservations and reclaim

Cause: the first decision only placed jobs in order of age; a guarantee was not kept and a large gang could wait behind small jobs for ever. Change: a ledger of the guarantees and a plan with places for their unused shapes, which work that cannot be reclaimed must leave free; reclaim of the borrowed work that loses least; queue order by response ratio with deadline and urgency classes; a reservation for the first waiting job with backfill; moves of checkpointed work; learned run times; probation of failing workers; refusal of what cannot meet its deadline. The mechanisms are members of scheduling_policy, so that baselines and tests switch them.

--- a/src/state/scheduling/capacity_view.cpp
+++ b/src/state/scheduling/capacity_view.cpp
@@ -62,6 +62,7 @@
 int capacity_view::MembersThatFit(int worker, const job_spec& spec, int limit) const {
   const worker_capacity& free = workers_[worker];
   limit = std::min(limit, free.tasks);
+  if (free.trial && (spec.members > 1 || spec.urgent)) return 0;
   if (spec.processors > 0) limit = std::min(limit, free.processors / spec.processors);
   if (spec.memory_mib > 0) {
     limit = static_cast<int>(std::min<std::int64_t>(limit, free.memory_mib / spec.memory_mib));
--- a/src/state/scheduling/capacity_view.h
+++ b/src/state/scheduling/capacity_view.h
@@ -35,6 +35,8 @@
   int tasks = std::numeric_limits<int>::max() / 2;
   /// Tasks that failed on it in a row.
   int failures = 0;
+  /// True when it takes only single, non-urgent tasks, because earlier ones failed on it.
+  bool trial = false;
 };
 
 /// Free capacity of every worker under one assumption, such as "without the jobs that can be reclaimed".
@@ -47,6 +49,8 @@
   void LimitTasks(int worker, int tasks) { workers_[worker].tasks = tasks; }
   /// Records failures in a row on `worker`.
   void SetFailures(int worker, int failures) { workers_[worker].failures = failures; }
+  /// Restricts `worker` to single, non-urgent tasks.
+  void SetTrial(int worker) { workers_[worker].trial = true; }
   /// Takes the capacity of a job with sizes `spec` placed at `places`.
   void Take(const assignment& places, const job_spec& spec);
   /// Gives back what Take took.
--- /dev/null
+++ b/src/state/scheduling/cluster_state.cpp
@@ -0,0 +1,126 @@
+#include "state/scheduling/cluster_state.h"
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+#include "state/scheduling/run_time_estimate.h"
+
+namespace hickorystall::state {
+namespace {
+
+/// Accelerators that a job uses in all.
+int AcceleratorsOf(const job_spec& spec) { return spec.members * spec.accelerators; }
+
+}  // namespace
+
+cluster_state::cluster_state(const scheduling_policy& policy, const scheduling_snapshot& snapshot,
+                             wall_time now)
+    : policy_(policy),
+      snapshot_(snapshot),
+      now_(now),
+      topology_(*snapshot.config),
+      used_(snapshot.config->workspaces.size()),
+      ledger_(*snapshot.config, topology_),
+      free_(topology_),
+      soon_(topology_),
+      firm_(topology_) {
+  for (std::size_t i = 0; i < snapshot.config->workspaces.size(); ++i) {
+    workspaces_.emplace(snapshot.config->workspaces[i].name, static_cast<int>(i));
+  }
+  LimitWorkers(free_);
+  soon_ = free_;
+  firm_ = free_;
+  AddAllocations();
+}
+
+void cluster_state::LimitWorkers(capacity_view& view) const {
+  const std::vector<worker_entry>& workers = topology_.workers();
+  for (int i = 0; i < static_cast<int>(workers.size()); ++i) {
+    if (workers[i].vm->drained) view.LimitTasks(i, 0);
+  }
+  for (const auto& [name, status] : snapshot_.workers) {
+    const int index = topology_.FindWorker(name);
+    if (index < 0) continue;
+    if (!status.available) view.LimitTasks(index, 0);
+    if (!policy_.probation) continue;
+    view.SetFailures(index, status.failures_in_row);
+    if (now_ < status.probation_until) view.LimitTasks(index, 0);
+    if (status.probation_until == wall_time{} || topology_.workers()[index].vm->drained) continue;
+    if (status.available && now_ >= status.probation_until) {
+      view.LimitTasks(index, 1);
+      view.SetTrial(index);
+    }
+  }
+}
+
+void cluster_state::AddAllocations() {
+  for (const auto& [id, job] : snapshot_.jobs) {
+    if (!HoldsWorkers(job.state)) continue;
+    allocation entry{&job, ToAssignment(topology_, job.placement), FindWorkspace(job.workspace)};
+    entry.leaving = job.state == job_state::kReclaiming || job.cancel_requested;
+    entry.remaining = Remaining(job);
+    allocations_.push_back(std::move(entry));
+  }
+  std::vector<allocation*> oldest_first;
+  for (allocation& entry : allocations_) oldest_first.push_back(&entry);
+  std::stable_sort(oldest_first.begin(), oldest_first.end(),
+                   [](const auto* a, const auto* b) { return a->job->started_at < b->job->started_at; });
+  for (allocation* entry : oldest_first) {
+    const job_spec& spec = entry->job->spec;
+    if (entry->workspace >= 0) used_[entry->workspace] += AcceleratorsOf(spec);
+    free_.Take(entry->places, spec);
+    if (entry->leaving) continue;
+    soon_.Take(entry->places, spec);
+    entry->lost_by_reclaim = WorkLostByReclaim(*entry->job, now_);
+    entry->reclaimable = policy_.guarantees && spec.may_wait && !ledger_.Covers(entry->workspace, spec);
+    if (entry->reclaimable) continue;
+    ledger_.Consume(entry->workspace, spec);
+    firm_.Take(entry->places, spec);
+  }
+}
+
+std::vector<queued_job> cluster_state::MakeQueue() const {
+  std::vector<queued_job> queue;
+  for (const auto& [id, job] : snapshot_.jobs) {
+    if (job.state != job_state::kQueued || job.cancel_requested) continue;
+    queued_job entry{&job, FindWorkspace(job.workspace), false, Remaining(job)};
+    entry.guaranteed = policy_.guarantees && ledger_.Covers(entry.workspace, job.spec);
+    queue.push_back(entry);
+  }
+  policy_.order(queue, now_);
+  return queue;
+}
+
+bool cluster_state::IsWithinQuota(const queued_job& entry) const {
+  const int limit = snapshot_.config->workspaces[entry.workspace].max_accelerators;
+  return limit == 0 || used_[entry.workspace] + AcceleratorsOf(entry.job->spec) <= limit;
+}
+
+void cluster_state::Take(const queued_job& entry, const assignment& places, bool reclaimable) {
+  const job_spec& spec = entry.job->spec;
+  free_.Take(places, spec);
+  soon_.Take(places, spec);
+  used_[entry.workspace] += AcceleratorsOf(spec);
+  if (reclaimable) return;
+  ledger_.Consume(entry.workspace, spec);
+  firm_.Take(places, spec);
+}
+
+void cluster_state::Reclaim(int index) {
+  allocation& entry = allocations_[index];
+  assert(entry.reclaimable && !entry.leaving);
+  entry.leaving = true;
+  soon_.Release(entry.places, entry.job->spec);
+}
+
+int cluster_state::FindWorkspace(std::string_view name) const {
+  const auto found = workspaces_.find(name);
+  return found == workspaces_.end() ? -1 : found->second;
+}
+
+std::chrono::milliseconds cluster_state::Remaining(const job_record& job) const {
+  return EstimateRemaining(job, EstimateRunTime(snapshot_, job, policy_.learned_run_times), now_);
+}
+
+}  // namespace hickorystall::state
--- a/src/state/scheduling/decision.h
+++ b/src/state/scheduling/decision.h
@@ -16,7 +16,8 @@
   bool available = true;
   /// Tasks in a row that failed on it.
   int failures_in_row = 0;
-  /// Until when the worker gets at most one task, as a trial after failures.
+  /// Until when the worker gets no new task after failures. Afterwards it gets one single task at a time as a
+  /// trial, until one succeeds. Set by RecordOutcome.
   wall_time probation_until;
 };
 
@@ -24,7 +25,7 @@
 struct learned_kind {
   /// Finished runs seen.
   int samples = 0;
-  /// Average of actual over declared run time.
+  /// Geometric mean of actual over declared run time. Set by LearnRunTime.
   double run_time_ratio = 1.0;
 };
 
--- /dev/null
+++ b/src/state/scheduling/decision_pass.cpp
@@ -0,0 +1,230 @@
+#include "state/scheduling/decision_pass.h"
+
+#include <algorithm>
+#include <cassert>
+
+#include "state/scheduling/run_time_estimate.h"
+#include "state/text.h"
+
+namespace hickorystall::state {
+namespace {
+
+/// Least wait that a move must save. A move costs its job a checkpoint of a second and a start.
+constexpr std::chrono::milliseconds kMinWaitSaved{60000};
+
+/// True when a place for `a` would be a place for `b`, or part of one, within the same rules.
+bool NeedsNoMoreThan(const queued_job& a, const queued_job& b) {
+  const job_spec& x = a.job->spec;
+  const job_spec& y = b.job->spec;
+  return x.members <= y.members && x.accelerators <= y.accelerators && x.processors <= y.processors &&
+         x.memory_mib <= y.memory_mib && (x.placement == y.placement || x.placement == adjacency::kNone);
+}
+
+}  // namespace
+
+decision_pass::decision_pass(const scheduling_policy& policy, const scheduling_snapshot& snapshot,
+                             wall_time now)
+    : policy_(policy),
+      snapshot_(snapshot),
+      now_(now),
+      state_(policy, snapshot, now),
+      feasibility_(*snapshot.config, state_.topology()) {
+  if (policy_.guarantees) plan_ = PlanGuarantees(state_.ledger(), state_.firm());
+}
+
+scheduling_decision decision_pass::Run() {
+  std::vector<queued_job> others;
+  for (queued_job entry : state_.MakeQueue()) {
+    // Jobs before it may have used up the guarantee.
+    entry.guaranteed = entry.guaranteed && state_.ledger().Covers(entry.workspace, entry.job->spec);
+    if (entry.guaranteed) {
+      Consider(entry);
+    } else {
+      others.push_back(entry);
+    }
+  }
+  policy_.order(others, now_);
+  for (const queued_job& entry : others) Consider(entry);
+  return std::move(decision_);
+}
+
+void decision_pass::Consider(const queued_job& entry) {
+  const std::string& id = entry.job->id;
+  if (std::string why = ExplainBarred(entry); !why.empty()) {
+    decision_.waiting[id] = std::move(why);
+    return;
+  }
+  if (TryRefuse(entry)) return;
+  if (policy_.strict_order && blocked_) {
+    decision_.waiting[id] = "an earlier job waits for capacity";
+    return;
+  }
+  if (TryStart(entry) || TryReclaim(entry)) return;
+  blocked_ = true;
+  if (decision_.waiting.try_emplace(id, "not enough workers are free").second) TryReserve(entry);
+}
+
+std::string decision_pass::ExplainBarred(const queued_job& entry) const {
+  if (entry.workspace < 0) return "its workspace is not in the configuration";
+  if (!state_.IsWithinQuota(entry)) return "its workspace uses its max_accelerators";
+  return "";
+}
+
+bool decision_pass::IsReclaimable(const queued_job& entry) const {
+  return policy_.guarantees && entry.job->spec.may_wait && !entry.guaranteed;
+}
+
+capacity_view decision_pass::Restrict(const capacity_view& view, const queued_job& entry) const {
+  capacity_view result = view;
+  if (entry.guaranteed) {
+    plan_.TakeFrom(result, entry.workspace);
+  } else if (!IsReclaimable(entry)) {
+    plan_.TakeFrom(result);
+  }
+  for (const reservation& reserved : reservations_) {
+    if (now_ + entry.remaining <= reserved.start) continue;
+    result.Take(reserved.places, reserved.spec);
+  }
+  return result;
+}
+
+bool decision_pass::HasFailedBefore(const queued_job& entry) const {
+  return std::any_of(failed_.begin(), failed_.end(), [&](const queued_job& other) {
+    return other.guaranteed == entry.guaranteed &&
+           (!entry.guaranteed || other.workspace == entry.workspace) &&
+           IsReclaimable(other) == IsReclaimable(entry) && other.remaining <= entry.remaining &&
+           NeedsNoMoreThan(other, entry);
+  });
+}
+
+bool decision_pass::TryStart(const queued_job& entry) {
+  if (HasFailedBefore(entry)) return false;
+  const auto places = FindPlacement(Restrict(state_.free(), entry), entry.job->spec, *policy_.placement);
+  if (!places) {
+    failed_.push_back(entry);
+    return false;
+  }
+  if (entry.guaranteed && !KeepsGuarantees(entry, *places)) return false;
+  Take(entry, *places);
+  decision_.commands.push_back({command_kind::kStart, entry.job->id, ToPlacement(state_.topology(), *places),
+                                entry.guaranteed ? "its guarantee is free" : "capacity is free"});
+  return true;
+}
+
+bool decision_pass::TryReclaim(const queued_job& entry) {
+  if (!policy_.guarantees || (!entry.guaranteed && !(policy_.reclaim_for_urgent && entry.job->spec.urgent))) {
+    return false;
+  }
+  std::optional<assignment> places =
+      FindPlacement(Restrict(state_.soon(), entry), entry.job->spec, *policy_.placement);
+  if (!places || (entry.guaranteed && !KeepsGuarantees(entry, *places))) {
+    capacity_view target = Restrict(state_.firm(), entry);
+    const std::optional<reclaim_choice> choice = ChooseReclaim(state_, MakeReclaimRequest(entry, target));
+    if (!choice) return false;
+    const std::string reason =
+        StrCat("reclaimed for ", entry.guaranteed ? "guaranteed" : "urgent", " job ", entry.job->id);
+    for (int index : choice->victims) Reclaim(index, reason);
+    places = choice->places;
+  }
+  Take(entry, *places);
+  decision_.waiting[entry.job->id] = "waits for workers that are being reclaimed";
+  return true;
+}
+
+reclaim_request decision_pass::MakeReclaimRequest(const queued_job& entry, capacity_view& target) const {
+  reclaim_request request{&entry.job->spec, &target, {}};
+  for (const allocation& other : state_.allocations()) {
+    const bool spared = !entry.guaranteed && other.job->spec.urgent;
+    request.eligible.push_back(other.reclaimable && !other.leaving && !spared);
+    if (other.reclaimable && !other.leaving && spared) target.Take(other.places, other.job->spec);
+  }
+  return request;
+}
+
+bool decision_pass::KeepsGuarantees(const queued_job& entry, const assignment& places) const {
+  if (!plan_.Touches(places)) return true;
+  guarantee_ledger ledger = state_.ledger();
+  capacity_view firm = state_.firm();
+  ledger.Consume(entry.workspace, entry.job->spec);
+  firm.Take(places, entry.job->spec);
+  return PlanGuarantees(ledger, firm).missing <= plan_.missing;
+}
+
+void decision_pass::Take(const queued_job& entry, const assignment& places) {
+  const bool reclaimable = IsReclaimable(entry);
+  state_.Take(entry, places, reclaimable);
+  if (!policy_.guarantees || reclaimable) return;
+  plan_ = PlanGuarantees(state_.ledger(), state_.firm());
+}
+
+void decision_pass::Reclaim(int index, const std::string& reason) {
+  state_.Reclaim(index);
+  decision_.commands.push_back({command_kind::kReclaim, state_.allocations()[index].job->id, {}, reason});
+}
+
+bool decision_pass::IsKnownPossible(const queued_job& entry) const {
+  return std::any_of(possible_.begin(), possible_.end(), [&](const queued_job& other) {
+    return other.workspace == entry.workspace && other.job->spec.may_wait == entry.job->spec.may_wait &&
+           other.job->spec.placement == entry.job->spec.placement && NeedsNoMoreThan(entry, other);
+  });
+}
+
+bool decision_pass::TryRefuse(const queued_job& entry) {
+  const job_record& job = *entry.job;
+  std::string why;
+  if (policy_.refuse_late && job.attempt == 0 && job.spec.deadline.count() > 0 &&
+      now_ + entry.remaining > job.submitted_at + job.spec.deadline) {
+    why = "it can no longer meet its deadline";
+  } else if (!IsKnownPossible(entry)) {
+    why = feasibility_.Explain(entry.workspace, job.spec);
+    if (why.empty()) possible_.push_back(entry);
+  }
+  if (why.empty()) return false;
+  decision_.commands.push_back({command_kind::kRefuse, job.id, {}, std::move(why)});
+  return true;
+}
+
+void decision_pass::TryReserve(const queued_job& entry) {
+  if (static_cast<int>(reservations_.size()) >= policy_.reservations) return;
+  const auto reserved =
+      ReserveEarliest(state_, entry, *policy_.placement, Restrict(state_.soon(), entry), now_);
+  if (!reserved) return;
+  decision_.waiting[entry.job->id] =
+      StrCat("reserved, expected to start in ", (reserved->start - now_).count() / 1000, " s");
+  if (policy_.defragment && TryMove(entry, *reserved)) return;
+  reservations_.push_back(*reserved);
+}
+
+bool decision_pass::TryMove(const queued_job& entry, const reservation& reserved) {
+  if (reserved.start - now_ < kMinWaitSaved || !IsReclaimable(entry)) return false;
+  const double ratio = ResponseRatio(entry, now_);
+  // A move pays when everything that must leave fits elsewhere at once, so that it loses a checkpoint only.
+  capacity_view target = state_.soon();
+  reclaim_request request{&entry.job->spec, &target, {}};
+  for (const allocation& other : state_.allocations()) {
+    const bool movable = other.reclaimable && !other.leaving && other.job->spec.may_checkpoint &&
+                         !other.job->spec.urgent && other.job->state == job_state::kRunning &&
+                         // One that came first in the queue again would take the place back.
+                         ResponseRatio({other.job, other.workspace, false, other.remaining}, now_) < ratio;
+    request.eligible.push_back(movable);
+    if (movable) target.Release(other.places, other.job->spec);
+  }
+  const std::optional<reclaim_choice> choice = ChooseReclaim(state_, request);
+  if (!choice || choice->victims.empty()) return false;
+  capacity_view after = state_.free();
+  for (int index : choice->victims) {
+    after.Release(state_.allocations()[index].places, state_.allocations()[index].job->spec);
+  }
+  after.Take(choice->places, entry.job->spec);
+  for (int index : choice->victims) {
+    const job_spec& spec = state_.allocations()[index].job->spec;
+    const auto elsewhere = FindPlacement(after, spec, *policy_.placement);
+    if (!elsewhere) return false;
+    after.Take(*elsewhere, spec);
+  }
+  for (int index : choice->victims) Reclaim(index, StrCat("moved to make room for job ", entry.job->id));
+  Take(entry, choice->places);
+  return true;
+}
+
+}  // namespace hickorystall::state
--- /dev/null
+++ b/src/state/scheduling/decision_pass.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "state/scheduling/cluster_state.h"
+#include "state/scheduling/feasibility_check.h"
+#include "state/scheduling/guarantee_plan.h"
+#include "state/scheduling/reclaim_choice.h"
+#include "state/scheduling/reservation.h"
+
+namespace hickorystall::state {
+
+/// One pass over the queue. Not thread-safe; used once.
+class decision_pass {
+ public:
+  /// Prepares a decision by `policy`. The arguments must outlive it.
+  decision_pass(const scheduling_policy& policy, const scheduling_snapshot& snapshot, wall_time now);
+
+  /// Considers every queued job and returns what to do.
+  scheduling_decision Run();
+
+ private:
+  /// Starts, refuses or leaves waiting one job.
+  void Consider(const queued_job& entry);
+  /// Why `entry` waits whatever is free, or an empty string.
+  std::string ExplainBarred(const queued_job& entry) const;
+  /// Starts `entry` if it fits now.
+  bool TryStart(const queued_job& entry);
+  /// Frees capacity for a guaranteed or urgent job, or waits for capacity that is coming free.
+  bool TryReclaim(const queued_job& entry);
+  /// Refuses `entry` when it can never run.
+  bool TryRefuse(const queued_job& entry);
+  /// Sets capacity aside for the first jobs that wait for it, and moves work out of the way where it pays.
+  void TryReserve(const queued_job& entry);
+  /// Moves checkpointed work away from a place for `entry` when all of it fits elsewhere at once.
+  bool TryMove(const queued_job& entry, const reservation& reserved);
+  /// True when `job` counts as work that can be taken back for a guarantee.
+  bool IsReclaimable(const queued_job& entry) const;
+  /// Returns `view` without what `entry` must leave to others.
+  capacity_view Restrict(const capacity_view& view, const queued_job& entry) const;
+  /// Returns the jobs that `entry` may reclaim, with the capacity that is free without them.
+  reclaim_request MakeReclaimRequest(const queued_job& entry, capacity_view& target) const;
+  /// True when the unused guarantees still have places after `entry` has taken `places`.
+  bool KeepsGuarantees(const queued_job& entry, const assignment& places) const;
+  /// Takes `places` for `entry` and renews the plan of the guarantees when they are touched.
+  void Take(const queued_job& entry, const assignment& places);
+  /// Commands the reclaim of the allocation at `index`.
+  void Reclaim(int index, const std::string& reason);
+  /// True when a job that needs no more has found no place in this pass.
+  bool HasFailedBefore(const queued_job& entry) const;
+  /// True when a job of the workspace that needs no less was found possible in this pass.
+  bool IsKnownPossible(const queued_job& entry) const;
+
+  /// Policy in force.
+  const scheduling_policy& policy_;
+  /// The snapshot.
+  const scheduling_snapshot& snapshot_;
+  /// Time of the decision.
+  wall_time now_;
+  /// Workers, jobs and capacity.
+  cluster_state state_;
+  /// Places for the unused guarantees.
+  guarantee_plan plan_;
+  /// Capacity set aside for waiting gangs.
+  std::vector<reservation> reservations_;
+  /// Jobs that found no place in this pass. Capacity only shrinks within a pass.
+  std::vector<queued_job> failed_;
+  /// Jobs that were found possible in this pass.
+  std::vector<queued_job> possible_;
+  /// Tells which jobs can never run.
+  feasibility_check feasibility_;
+  /// True once a job waits for capacity.
+  bool blocked_ = false;
+  /// What to do.
+  scheduling_decision decision_;
+};
+
+}  // namespace hickorystall::state
--- /dev/null
+++ b/src/state/scheduling/guarantee_plan.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <vector>
+
+#include "state/scheduling/guarantee_ledger.h"
+#include "state/scheduling/placement.h"
+
+namespace hickorystall::state {
+
+/// An unused guaranteed shape with a place that can be made free for it.
+struct planned_shape {
+  /// The shape.
+  open_shape shape;
+  /// Where it would run.
+  assignment places;
+};
+
+/// Places for all unused guaranteed shapes at once. Work that cannot be reclaimed stays off them.
+struct guarantee_plan {
+  /// Shapes that have a place.
+  std::vector<planned_shape> shapes;
+  /// Shapes that have none, because workers are lost or because the guarantees do not fit.
+  int missing = 0;
+
+  /// Takes the planned places of every workspace but `except` from `view`.
+  void TakeFrom(capacity_view& view, int except = -1) const;
+  /// True when `places` share an accelerator or worker with a planned shape.
+  bool Touches(const assignment& places) const;
+};
+
+/// Plans the unused shapes of `ledger` on `firm`, what is free without the work that can be reclaimed.
+guarantee_plan PlanGuarantees(const guarantee_ledger& ledger, const capacity_view& firm);
+
+}  // namespace hickorystall::state
--- a/src/state/scheduling/placement.cpp
+++ b/src/state/scheduling/placement.cpp
@@ -44,7 +44,7 @@
 
 /// Collects the workers of `scope` with room for `spec`; returns how many members fit on them in all.
 int CollectCandidates(const capacity_view& view, const job_spec& spec, const std::vector<int>& scope,
-                      std::vector<candidate>& out) {
+                      bool take_first, std::vector<candidate>& out) {
   out.clear();
   int total = 0;
   for (int worker : scope) {
@@ -52,6 +52,7 @@
     if (fit == 0) continue;
     out.push_back({0, worker, fit});
     total += fit;
+    if (take_first && total >= spec.members) break;
   }
   return total;
 }
@@ -87,9 +88,9 @@
 
 }  // namespace
 
-const placement_strategy kFirstFit{NoPreference, AnyScope};
-const placement_strategy kBestFit{FewestFree, TightestScope};
-const placement_strategy kLeastLeftOver{LeftOver, TightestScope};
+const placement_strategy kFirstFit{NoPreference, AnyScope, true};
+const placement_strategy kBestFit{FewestFree, TightestScope, false};
+const placement_strategy kLeastLeftOver{LeftOver, TightestScope, false};
 
 std::optional<assignment> FindPlacement(const capacity_view& view, const job_spec& spec,
                                         const placement_strategy& strategy) {
@@ -97,12 +98,13 @@
   std::vector<candidate> best;
   std::int64_t best_score = 0;
   for (const std::vector<int>& scope : view.topology().scopes(spec.placement)) {
-    const int spare = CollectCandidates(view, spec, scope, candidates) - spec.members;
+    const int spare = CollectCandidates(view, spec, scope, strategy.take_first, candidates) - spec.members;
     if (spare < 0) continue;
     const std::int64_t score = strategy.score_scope(spare);
     if (!best.empty() && score >= best_score) continue;
     best_score = score;
     best.swap(candidates);
+    if (strategy.take_first) break;
   }
   if (best.empty()) return std::nullopt;
   return Fill(view, spec, strategy, best);
--- a/src/state/scheduling/placement.h
+++ b/src/state/scheduling/placement.h
@@ -19,6 +19,8 @@
   worker_score score_worker;
   /// Order of the scopes.
   scope_score score_scope;
+  /// True when the first place in the order of the inventory is taken, so that the search can stop there.
+  bool take_first = false;
 };
 
 /// Takes the first place in the order of the inventory.
