Close connections without cutting a request

Cause: a stop closed idle keep-alive connections while a request could be arriving, and closing the listening socket reset completed connections that nobody had accepted. Read timeouts closed the socket before the 408 answer could be written, since beast::tcp_stream closes on expiry. Ruled out: closing idle connections silently; the client cannot tell whether its request ran. Change: http_connection has one lazily re-armed timer that cancels instead of closing. An idle connection gets 408 with ran:no before it closes, then the server lingers until the peer closes. A socket filter drops new SYNs at the stop so that the accept queue drains before the listening socket closes; such a client is refused after its SYN retransmission (1 s) instead of reset after sending. Signals are caught from the start of Run.

--- a/src/programs/common/server_program.cpp
+++ b/src/programs/common/server_program.cpp
@@ -93,6 +93,9 @@
 }
 
 int server_program::Run() {
+  // Set up first, so that a signal during the start also leads to a graceful stop.
+  asio::io_context signal_context;
+  asio::signal_set signals(signal_context, SIGTERM, SIGINT);
   server_ = std::make_unique<transport::http_server>(
       pool_, settings_.http, [this](transport::http_request request) { return Route(std::move(request)); },
       protocol::MakeReadFailureResponse);
@@ -111,18 +114,12 @@
   }
   pool_.Start();
   LOG(INFO) << prefix_ << ": instance " << settings_.instance << " listens on port " << server_->port();
-  WaitForSignal();
+  signals.async_wait([](const boost::system::error_code&, int) {});
+  signal_context.run();
   StopGracefully();
   return 0;
 }
 
-void server_program::WaitForSignal() {
-  asio::io_context context;
-  asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([](const boost::system::error_code&, int) {});
-  context.run();
-}
-
 void server_program::StopGracefully() {
   LOG(INFO) << prefix_ << ": stopping, not ready from now on";
   stopping_ = true;
@@ -130,7 +127,8 @@
   std::this_thread::sleep_for(settings_.drain_notice);
   server_->StopAccepting();
   const clock::time_point limit = clock::now() + settings_.drain_limit;
-  while (server_->requests_in_flight() > 0 && clock::now() < limit) std::this_thread::sleep_for(kDrainCheck);
+  const auto is_serving = [this] { return server_->is_listening() || server_->open_connections() > 0; };
+  while (is_serving() && clock::now() < limit) std::this_thread::sleep_for(kDrainCheck);
   LOG_IF(WARNING, server_->requests_in_flight() > 0)
       << prefix_ << ": " << server_->requests_in_flight() << " requests were cut off at the drain limit";
   for (const auto& action : stop_actions_) action();
--- a/src/programs/common/server_program.h
+++ b/src/programs/common/server_program.h
@@ -60,7 +60,6 @@
   boost::asio::awaitable<transport::http_response> Route(transport::http_request request);
   transport::http_response AnswerReady() const;
   transport::http_response AnswerDump(const transport::http_request& request) const;
-  void WaitForSignal();
   void StopGracefully();
 
   const std::string prefix_;
--- /dev/null
+++ b/src/transport/http_connection.cpp
@@ -0,0 +1,182 @@
+#include "transport/http_connection.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+#include <utility>
+
+namespace hickorystall::transport {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kReadBytes = 4096;
+http_request TakeRequest(http::request<http::string_body>&& message) {
+  http_request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) request.headers.emplace_back(field.name_string(), field.value());
+  request.body = std::move(message.body());
+  return request;
+}
+
+http::response<http::string_body> MakeMessage(http_response&& response, bool keep_alive) {
+  http::response<http::string_body> message;
+  message.version(11);
+  message.result(static_cast<unsigned>(response.status));
+  for (const auto& [name, value] : response.headers) message.insert(name, value);
+  message.body() = std::move(response.body);
+  message.keep_alive(keep_alive);
+  message.prepare_payload();
+  return message;
+}
+
+read_failure ClassifyReadError(const boost::system::error_code& error, bool timed_out) {
+  if (timed_out) return read_failure::kTooSlow;
+  if (error == http::error::body_limit) return read_failure::kBodyTooLarge;
+  if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+    return read_failure::kHeadersTooLarge;
+  }
+  return read_failure::kMalformed;
+}
+
+bool IsDisconnect(const boost::system::error_code& error) {
+  return error == http::error::end_of_stream || error == asio::error::eof ||
+         error == asio::error::connection_reset || error == asio::error::bad_descriptor ||
+         error == http::error::partial_message || error == asio::error::broken_pipe;
+}
+
+}  // namespace
+
+http_connection::http_connection(tcp::socket socket, std::shared_ptr<http_server_context> context)
+    : socket_(std::move(socket)), context_(std::move(context)), timer_(socket_.get_executor()) {}
+
+asio::awaitable<void> http_connection::Serve() {
+  const auto self = shared_from_this();
+  boost::system::error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  bool keep_open = true;
+  while (keep_open) keep_open = co_await ServeOne();
+  if (lingers_) co_await Linger();
+  ClearTimeout();
+  timer_.cancel();
+  socket_.close(ignored);
+}
+
+// Reads and answers one request; returns false when the connection must be closed.
+asio::awaitable<bool> http_connection::ServeOne() {
+  if (buffer_.size() == 0 && !co_await WaitForRequest()) co_return false;
+  ++context_->in_flight;
+  const std::shared_ptr<void> leave(nullptr, [this](void*) { --context_->in_flight; });
+  http::request_parser<http::string_body> parser;
+  parser.body_limit(context_->settings.max_body_bytes);
+  parser.header_limit(context_->settings.max_header_bytes);
+  SetTimeout(context_->settings.read_timeout);
+  auto [error, bytes] = co_await http::async_read(socket_, buffer_, parser, kAsTuple);
+  (void)bytes;
+  if (error) {
+    if (!IsDisconnect(error)) {
+      co_await Write(context_->answer_failure(ClassifyReadError(error, timed_out_)), false);
+      lingers_ = true;
+    }
+    co_return false;
+  }
+  ClearTimeout();
+  const bool wants_keep_alive = parser.get().keep_alive();
+  http_response response = co_await context_->handle(TakeRequest(parser.release()));
+  if (response.status == 0) co_return false;
+  const bool keep_alive = wants_keep_alive && !ClosesAfterAnswer();
+  lingers_ = wants_keep_alive && !keep_alive;
+  co_return co_await Write(std::move(response), keep_alive);
+}
+
+// Requests that were pipelined before the drain began are still answered.
+bool http_connection::ClosesAfterAnswer() const { return context_->draining && buffer_.size() == 0; }
+
+// Waits for the first byte of a request; returns false when the connection must be closed.
+asio::awaitable<bool> http_connection::WaitForRequest() {
+  idle_ = true;
+  SetTimeout(context_->stopped ? context_->settings.last_request_timeout : context_->settings.idle_timeout);
+  auto [error, bytes] = co_await socket_.async_read_some(buffer_.prepare(kReadBytes), kAsTuple);
+  idle_ = false;
+  if (!error) {
+    buffer_.commit(bytes);
+    co_return true;
+  }
+  if (!timed_out_) co_return false;
+  if (ReadAvailable()) co_return true;
+  // The peer may be sending a request at this moment. RFC 9110, section 15.5.9, lets a server announce with
+  // 408 that it closes an unused connection; a peer that has just sent a request learns that it did not run.
+  co_await Write(context_->answer_failure(read_failure::kTooSlow), false);
+  lingers_ = true;
+  co_return false;
+}
+
+// Reads what has arrived since the last read was cancelled; returns false when that is nothing.
+bool http_connection::ReadAvailable() {
+  boost::system::error_code error;
+  if (socket_.available(error) == 0 || error) return false;
+  const std::size_t bytes = socket_.read_some(buffer_.prepare(kReadBytes), error);
+  if (error) return false;
+  buffer_.commit(bytes);
+  return bytes > 0;
+}
+
+asio::awaitable<bool> http_connection::Write(http_response response, bool keep_alive) {
+  http::response<http::string_body> message = MakeMessage(std::move(response), keep_alive);
+  SetTimeout(context_->settings.write_timeout);
+  auto [error, bytes] = co_await http::async_write(socket_, message, kAsTuple);
+  (void)bytes;
+  ClearTimeout();
+  lingers_ = lingers_ && !error;
+  co_return !error && keep_alive;
+}
+
+// Discards what the peer still sends, until it closes its side.
+asio::awaitable<void> http_connection::Linger() {
+  boost::system::error_code shutdown_error;
+  socket_.shutdown(tcp::socket::shutdown_send, shutdown_error);
+  SetTimeout(context_->settings.linger_timeout);
+  std::array<char, kReadBytes> discarded;
+  while (!timed_out_) {
+    auto [error, bytes] = co_await socket_.async_read_some(asio::buffer(discarded), kAsTuple);
+    if (error || bytes == 0) co_return;
+  }
+}
+
+void http_connection::LimitIdleTime() {
+  if (idle_) SetTimeout(context_->settings.last_request_timeout);
+}
+
+void http_connection::SetTimeout(clock::duration duration) {
+  timed_out_ = false;
+  deadline_ = clock::now() + duration;
+  if (deadline_ < timer_expiry_) ArmTimer();
+}
+
+void http_connection::ArmTimer() {
+  timer_expiry_ = deadline_;
+  timer_.expires_at(deadline_);
+  timer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+    const auto self = weak.lock();
+    if (!error && self != nullptr) self->OnTimer();
+  });
+}
+
+void http_connection::OnTimer() {
+  timer_expiry_ = clock::time_point::max();
+  if (deadline_ == clock::time_point::max()) return;
+  if (clock::now() < deadline_) return ArmTimer();
+  deadline_ = clock::time_point::max();
+  timed_out_ = true;
+  boost::system::error_code ignored;
+  socket_.cancel(ignored);
+}
+
+}  // namespace hickorystall::transport
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -33,6 +33,12 @@
   std::chrono::milliseconds idle_timeout{60000};
   /// Time in which a response must be written.
   std::chrono::milliseconds write_timeout{10000};
+  /// Time that an idle connection stays open after the listening socket has closed. A request that the peer
+  /// sent before it could know of the stop arrives within it.
+  std::chrono::milliseconds last_request_timeout{300};
+  /// Time for the peer to close its side after this one. Closing earlier with unread data would reset the
+  /// connection and could destroy the last answer on its way.
+  std::chrono::milliseconds linger_timeout{1000};
   /// Connections open at the same time; more are closed at once.
   int max_connections = 4096;
 };
@@ -59,8 +65,12 @@
   int port() const;
   /// From now on each answer closes its connection. New connections are still accepted.
   void BeginDrain();
-  /// Closes the listening socket and the idle connections.
+  /// Lets connections that are being made complete, then closes the listening socket. Idle connections get a
+  /// last moment for a request that is on its way and are then closed. Returns at once; is_listening and
+  /// open_connections tell when it is done.
   void StopAccepting();
+  /// True from Start until the listening socket is closed.
+  bool is_listening() const;
   /// Requests that were read in part or whole and whose answer is not yet written.
   int requests_in_flight() const;
   /// Connections open now.
