--- /dev/null
+++ b/src/coordination/claim_store.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "protocol/table_client.h"
+#include "state/ranked_mutex.h"
+#include "transport/worker_pool.h"
+
+namespace hickorystall::coordination {
+
+/// Where a claim stands.
+enum class claim_state {
+  /// Nobody ever claimed the key.
+  kAbsent,
+  /// A claim was given back because the request was certainly not run; the key may be claimed again.
+  kReleased,
+  /// A gateway sends or has sent the request to the target in the record.
+  kClaimed,
+  /// The answer is known.
+  kDone,
+  /// The target could not tell the outcome within the time limit. Final: the key never runs again.
+  kUnresolved,
+};
+
+/// The row of one idempotency key.
+struct claim_record {
+  /// Where it stands.
+  claim_state state = claim_state::kAbsent;
+  /// Version of the row; 0 when absent.
+  std::int64_t version = 0;
+  /// Token of the last write.
+  std::string writer;
+  /// SHA-256 of what was asked, to find a key that is used for something else.
+  std::string digest;
+  /// Name of the target.
+  std::string target;
+  /// Address of the target.
+  std::string address;
+  /// Id of the execution on the target.
+  std::string execution;
+  /// Time that a settlement waits for the outcome before it gives up.
+  std::chrono::milliseconds settle_limit{0};
+  /// HTTP status of the answer.
+  int status = 0;
+  /// Content type of the answer.
+  std::string content_type;
+  /// Body of the answer.
+  std::string body;
+  /// Name of the object that holds the body, when it is too large for a row.
+  std::string object;
+};
+
+/// Returns the row value of `record`. The body stands in it unless `object` is set.
+std::string EncodeClaim(const claim_record& record);
+/// Reads a row value. kDataLoss when it is not a claim.
+absl::StatusOr<claim_record> DecodeClaim(std::string_view text);
+
+/// Rows that make non-idempotent requests run at most once (docs/design.md, section 5.5). Thread-safe.
+class claim_store {
+ public:
+  /// Bodies above this size go into the object store.
+  static constexpr std::size_t kMaxBodyInRow = 16 * 1024;
+
+  /// The references must outlive the store.
+  claim_store(protocol::platform_client& platform, transport::worker_pool& pool);
+
+  /// Reads the claim of `key`, from this gateway's memory while a write is pending, else from the table with
+  /// its body. kUnavailable when the table cannot be read.
+  boost::asio::awaitable<absl::StatusOr<claim_record>> Read(std::string key);
+  /// Writes `record` over the row with `record.version` and returns the new version. kAborted when another
+  /// writer was faster, kUnavailable when the row was certainly not written, kUnknown when it may have been.
+  boost::asio::awaitable<absl::StatusOr<std::int64_t>> Write(std::string key, claim_record record);
+  /// Writes the outcome of a claim until it is stored or the process stops. Read returns it from now on.
+  void Complete(const std::string& key, claim_record record);
+  /// Gives back a claim whose request was certainly not run, until that is stored or the process stops.
+  void Release(const std::string& key, claim_record record);
+
+  /// Lets pending writes go on for at most `limit`; what remains is left to other gateways.
+  void Finish(std::chrono::milliseconds limit);
+  /// Writes that are pending.
+  int pending() const { return pending_count_; }
+  /// Keys with pending writes and what they wait to write.
+  nlohmann::json Dump() const;
+
+ private:
+  boost::asio::awaitable<void> WriteUntilStored(std::string key, std::shared_ptr<claim_record> record);
+  boost::asio::awaitable<bool> StoreOnce(const std::string& key, claim_record& record);
+  boost::asio::awaitable<absl::StatusOr<claim_record>> ReadRow(std::string key);
+
+  protocol::platform_client& platform_;
+  transport::worker_pool& pool_;
+  std::atomic<int> pending_count_{0};
+  std::atomic<bool> stopping_{false};
+  // Guards `pending_`.
+  mutable state::ranked_mutex mutex_{state::lock_rank::kClaimTable};
+  std::map<std::string, std::shared_ptr<claim_record>> pending_;
+};
+
+}  // namespace hickorystall::coordination
--- /dev/null
+++ b/src/coordination/job_submission.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "coordination/claim_store.h"
+#include "protocol/table_client.h"
+#include "state/config/cluster_config.h"
+#include "state/error_kind.h"
+#include "state/ranked_mutex.h"
+#include "state/scheduling/job.h"
+#include "transport/async_event.h"
+#include "transport/worker_pool.h"
+
+namespace hickorystall::coordination {
+
+/// Result of a call about jobs: a document or a refusal.
+struct job_result {
+  /// The refusal; nothing for a document.
+  std::optional<state::error_kind> refusal;
+  /// Why it was refused, in one sentence.
+  std::string message;
+  /// HTTP status of a document.
+  int status = 200;
+  /// The document.
+  nlohmann::json body;
+};
+
+/// Accepts, shows and cancels jobs through the rows that the pool's owner reads (docs/design.md, section 5).
+/// A job of another workspace is treated as if it did not exist. Thread-safe.
+class job_submission {
+ public:
+  using config_ptr = std::shared_ptr<const state::versioned_config>;
+  /// Longest time for which Get waits.
+  static constexpr std::chrono::milliseconds kMaxWait{60000};
+
+  /// `pool_name` is the pool that jobs are submitted to. The references must outlive the object.
+  job_submission(protocol::table_client& table, transport::worker_pool& loops, std::string pool_name);
+
+  /// Stores a job. With an idempotency key the job is stored once, however often the call is repeated.
+  boost::asio::awaitable<job_result> Submit(config_ptr config, std::string workspace, std::string body,
+                                            std::string idempotency_key);
+  /// Shows a job. With `wait` it answers when the job is in a final state or the time has passed.
+  boost::asio::awaitable<job_result> Get(std::string workspace, std::string job_id,
+                                         std::chrono::milliseconds wait);
+  /// Lists the workspace's jobs.
+  boost::asio::awaitable<job_result> List(std::string workspace);
+  /// Asks the pool's owner to cancel jobs. Each gets one answer: accepted, already final or not found.
+  boost::asio::awaitable<job_result> Cancel(std::string workspace, std::vector<std::string> job_ids);
+
+  /// Ends all waits, at a stop.
+  void StopWaiting() { stopping_ = true; }
+  /// Jobs that callers wait for, with the number of waiters.
+  nlohmann::json Dump() const;
+
+ private:
+  using read_result = absl::StatusOr<std::optional<state::job_record>>;
+  // The rows of one job that several callers wait for are read once for all of them.
+  struct watch {
+    int waiters = 0;
+    std::vector<transport::async_event> events;
+    std::optional<state::job_record> last;
+  };
+
+  boost::asio::awaitable<read_result> ReadJob(std::string workspace, std::string job_id);
+  boost::asio::awaitable<absl::StatusOr<std::map<std::string, state::job_record>>> ScanJobs(
+      std::string workspace);
+  boost::asio::awaitable<job_result> Store(const state::job_record& record, std::string claim_key,
+                                           std::string digest);
+  boost::asio::awaitable<job_result> AnswerExisting(std::string claim_key, std::string digest);
+  boost::asio::awaitable<bool> IsOverQuota(const state::cluster_config& config, std::string workspace);
+  boost::asio::awaitable<absl::Status> PutCancels(std::vector<std::string> job_ids);
+  std::shared_ptr<watch> JoinWatch(const std::string& job_id, const transport::async_event& event);
+  void LeaveWatch(const std::string& job_id, const std::shared_ptr<watch>& watched);
+  boost::asio::awaitable<void> PollWatch(std::string job_id, std::shared_ptr<watch> watched);
+
+  protocol::table_client& table_;
+  transport::worker_pool& loops_;
+  const std::string pool_name_;
+  std::atomic<bool> stopping_{false};
+  // Guards the members below.
+  mutable state::ranked_mutex mutex_{state::lock_rank::kJobTable};
+  std::map<std::string, std::shared_ptr<watch>> watches_;
+  // Unfinished jobs by workspace at the last count, and when it was made.
+  std::map<std::string, int> counts_;
+  std::chrono::steady_clock::time_point counted_at_;
+};
+
+}  // namespace hickorystall::coordination
--- /dev/null
+++ b/src/coordination/request_router.cpp
@@ -0,0 +1,348 @@
+#include "coordination/request_router.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "protocol/job_codec.h"
+#include "protocol/token_hash.h"
+#include "state/text.h"
+#include "transport/async_event.h"
+
+namespace hickorystall::coordination {
+
+namespace asio = boost::asio;
+using clock = std::chrono::steady_clock;
+using nlohmann::json;
+using protocol::execute_outcome;
+using protocol::execution_result;
+using state::attempt_outcome;
+using state::chosen_target;
+using state::error_kind;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Intervals between questions to a target about an execution.
+constexpr milliseconds kFirstQueryInterval{50};
+constexpr milliseconds kLongestQueryInterval{1000};
+// Part of the remaining time that the one attempt of a non-idempotent request may take. The rest is kept for
+// asking the target what came of it.
+constexpr double kSingleAttemptPart = 0.75;
+
+milliseconds Left(clock::time_point deadline) {
+  return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(deadline - clock::now()));
+}
+
+routed_result Refuse(error_kind kind, std::string message, std::string outcome_url = {}) {
+  routed_result result;
+  result.refusal = kind;
+  result.message = std::move(message);
+  result.outcome_url = std::move(outcome_url);
+  return result;
+}
+
+routed_result RefuseByStatus(const absl::Status& status) {
+  const bool overloaded = absl::IsResourceExhausted(status);
+  return Refuse(overloaded ? error_kind::kOverloaded : error_kind::kNoTarget, std::string(status.message()));
+}
+
+routed_result AnswerWith(execution_result&& result) {
+  if (result.outcome == execute_outcome::kFailed) return Refuse(error_kind::kTargetFailed, result.message);
+  routed_result answer;
+  answer.status = result.status;
+  answer.content_type = std::move(result.content_type);
+  answer.body = std::move(result.body);
+  return answer;
+}
+
+routed_result AnswerWith(const claim_record& claim) {
+  if (claim.status >= 500) {
+    return Refuse(error_kind::kTargetFailed, state::StrCat("the target answered with status ", claim.status));
+  }
+  routed_result answer;
+  answer.status = claim.status;
+  answer.content_type = claim.content_type;
+  answer.body = claim.body;
+  return answer;
+}
+
+// `usual_timeout` is false when a caller's short timeout may be the only reason for a missing answer.
+attempt_outcome ToHealth(execute_outcome outcome, bool usual_timeout) {
+  switch (outcome) {
+    case execute_outcome::kAnswered:
+      return attempt_outcome::kAnswered;
+    case execute_outcome::kBusy:
+      return attempt_outcome::kBusy;
+    case execute_outcome::kLeaving:
+      return attempt_outcome::kLeaving;
+    case execute_outcome::kTimedOut:
+      return usual_timeout ? attempt_outcome::kFailed : attempt_outcome::kNeutral;
+    default:
+      return attempt_outcome::kFailed;
+  }
+}
+
+milliseconds UsualAttemptTimeout(const state::work_kind& kind) {
+  if (!kind.idempotent) {
+    return milliseconds(
+        static_cast<std::int64_t>(static_cast<double>(kind.timeout.count()) * kSingleAttemptPart));
+  }
+  return kind.timeout / std::max(1, kind.max_attempts);
+}
+
+// What to tell the caller of an idempotent request whose last attempt failed and may have run.
+routed_result RefuseAfter(const execution_result& last, clock::time_point deadline) {
+  if (last.outcome == execute_outcome::kFailed) return Refuse(error_kind::kTargetFailed, last.message);
+  const bool late = Left(deadline) <= milliseconds(0);
+  return Refuse(late ? error_kind::kDeadlineExceeded : error_kind::kOutcomeUnknown, last.message);
+}
+
+}  // namespace
+
+request_router::request_router(protocol::executor_client& executors, request_router_slots& slots,
+                               claim_store& claims, state::request_metrics& metrics,
+                               transport::worker_pool& pool, request_router_settings settings)
+    : executors_(executors),
+      slots_(slots),
+      claims_(claims),
+      metrics_(metrics),
+      pool_(pool),
+      settings_(settings) {}
+
+asio::awaitable<routed_result> request_router::Route(routed_request request) {
+  const clock::time_point deadline = clock::now() + request.timeout;
+  if (!slots_.AdmitRate(request.workspace)) {
+    co_return Refuse(error_kind::kRateLimited, "the workspace is above its request rate");
+  }
+  if (request.kind.idempotent) co_return co_await RouteIdempotent(std::move(request), deadline);
+  co_return co_await RouteAtMostOnce(std::move(request), deadline);
+}
+
+asio::awaitable<execution_result> request_router::Attempt(const routed_request& request,
+                                                          const chosen_target& target, std::string id,
+                                                          milliseconds timeout) {
+  execution_result result =
+      co_await executors_.Execute({target.address, std::move(id), request.kind.name, request.body, timeout});
+  const bool usual = timeout >= UsualAttemptTimeout(request.kind);
+  slots_.Release(target, ToHealth(result.outcome, usual), result.reported_load);
+  metrics_.RecordAttempt(target.name, std::string(protocol::ExecuteOutcomeName(result.outcome)),
+                         target.retry);
+  co_return result;
+}
+
+asio::awaitable<routed_result> request_router::RouteIdempotent(routed_request request,
+                                                               clock::time_point deadline) {
+  const std::string id = protocol::RandomId();
+  const milliseconds attempt_timeout = request.timeout / std::max(1, request.kind.max_attempts);
+  state::target_request wanted;
+  // The last attempt that may have run; without one the request is refused as not run.
+  std::optional<execution_result> may_have_run;
+  slots_.RecordFirstAttempt(request.workspace);
+  for (int attempt = 1;; ++attempt) {
+    const milliseconds wait = std::min(Left(deadline), request.kind.max_queue);
+    const absl::StatusOr<chosen_target> target = co_await slots_.Acquire(request.kind.level, wanted, wait);
+    if (!target.ok()) {
+      if (may_have_run.has_value()) co_return RefuseAfter(*may_have_run, deadline);
+      co_return RefuseByStatus(target.status());
+    }
+    const milliseconds timeout = std::min(Left(deadline), std::max(attempt_timeout, milliseconds(1)));
+    execution_result result = co_await Attempt(request, *target, state::StrCat(id, ".", attempt), timeout);
+    if (result.outcome == execute_outcome::kAnswered) co_return AnswerWith(std::move(result));
+    wanted.excluded.push_back(target->name);
+    wanted.retry = true;
+    const bool may_retry = attempt < request.kind.max_attempts && Left(deadline) > milliseconds(0) &&
+                           slots_.TakeRetry(request.workspace);
+    const std::string message = result.message;
+    if (!protocol::ProvesNotRun(result.outcome)) may_have_run = std::move(result);
+    if (may_retry) continue;
+    if (may_have_run.has_value()) co_return RefuseAfter(*may_have_run, deadline);
+    co_return Refuse(error_kind::kNoTarget, message);
+  }
+}
+
+asio::awaitable<routed_result> request_router::RouteAtMostOnce(routed_request request,
+                                                               clock::time_point deadline) {
+  claimed_request claimed;
+  claimed.key = protocol::ClaimKey(transport::PercentEncode(request.workspace),
+                                   transport::PercentEncode(request.idempotency_key));
+  claimed.outcome_url = "/v1/outcomes/" + transport::PercentEncode(request.idempotency_key);
+  claimed.claim.digest =
+      protocol::Sha256Hex(state::StrCat("request/", request.kind.name, "\n", request.body));
+  claimed.claim.settle_limit = request.kind.timeout + settings_.settle_limit;
+  slots_.RecordFirstAttempt(request.workspace);
+  for (int attempt = 1;; ++attempt) {
+    const milliseconds wait = std::min(Left(deadline), request.kind.max_queue);
+    // A probe may hang or fail half-way, so only idempotent requests serve as probes.
+    const state::target_request wanted{claimed.excluded, false, attempt > 1};
+    const absl::StatusOr<chosen_target> target = co_await slots_.Acquire(request.kind.level, wanted, wait);
+    if (!target.ok()) co_return RefuseNotRun(target.status(), claimed);
+    std::optional<routed_result> result = co_await AttemptClaimed(request, claimed, *target, deadline);
+    if (result.has_value()) co_return *result;
+    claimed.excluded.push_back(target->name);
+    if (attempt >= request.kind.max_attempts || !slots_.TakeRetry(request.workspace)) {
+      co_return RefuseNotRun(absl::UnavailableError("the targets refused the request"), claimed);
+    }
+  }
+}
+
+routed_result request_router::RefuseNotRun(const absl::Status& reason, claimed_request& claimed) {
+  if (claimed.wrote_claim) claims_.Release(claimed.key, claimed.claim);
+  return RefuseByStatus(reason);
+}
+
+// Claims the key for `target` and sends the request. Returns nothing when it certainly was not run and may be
+// sent to another target.
+asio::awaitable<std::optional<routed_result>> request_router::AttemptClaimed(const routed_request& request,
+                                                                             claimed_request& claimed,
+                                                                             const chosen_target& target,
+                                                                             clock::time_point deadline) {
+  claim_record& claim = claimed.claim;
+  claim.state = claim_state::kClaimed;
+  claim.target = target.name;
+  claim.address = target.address;
+  claim.execution = protocol::RandomId();
+  absl::StatusOr<std::int64_t> version = co_await claims_.Write(claimed.key, claim);
+  if (absl::IsAborted(version.status())) {
+    const absl::StatusOr<claim_record> existing = co_await claims_.Read(claimed.key);
+    const bool free = existing.ok() &&
+                      (existing->state == claim_state::kReleased || existing->state == claim_state::kAbsent);
+    if (free && !claimed.wrote_claim) {
+      claim.version = existing->version;
+      version = co_await claims_.Write(claimed.key, claim);
+    }
+  }
+  if (!version.ok()) {
+    slots_.Release(target, attempt_outcome::kNeutral, std::nullopt);
+    if (absl::IsAborted(version.status())) {
+      co_return co_await AnswerExisting(claimed.key, claim.digest, claimed.outcome_url);
+    }
+    if (absl::IsUnknown(version.status()) || claimed.wrote_claim) claims_.Release(claimed.key, claim);
+    co_return Refuse(error_kind::kStoreUnavailable, "the claim of the idempotency key could not be stored");
+  }
+  claim.version = *version;
+  claimed.wrote_claim = true;
+  // A process that was paused here must not send what others may already have given up on.
+  if (Left(deadline) <= milliseconds(0)) {
+    slots_.Release(target, attempt_outcome::kNeutral, std::nullopt);
+    co_return RefuseNotRun(absl::ResourceExhaustedError("the time was used up before the request was sent"),
+                           claimed);
+  }
+  const auto left = static_cast<double>(Left(deadline).count());
+  const milliseconds timeout(std::max<std::int64_t>(1, static_cast<std::int64_t>(left * kSingleAttemptPart)));
+  execution_result result = co_await Attempt(request, target, claim.execution, timeout);
+  if (protocol::ProvesNotRun(result.outcome)) co_return std::nullopt;
+  if (result.outcome != execute_outcome::kAnswered && result.outcome != execute_outcome::kFailed) {
+    co_return co_await SettleUntil(claimed, deadline);
+  }
+  claim.state = claim_state::kDone;
+  claim.status = result.status;
+  claim.content_type = result.content_type;
+  claim.body = result.body;
+  claims_.Complete(claimed.key, claim);
+  co_return AnswerWith(std::move(result));
+}
+
+asio::awaitable<routed_result> request_router::AnswerExisting(std::string key, std::string digest,
+                                                              std::string outcome_url) {
+  absl::StatusOr<claim_record> read = co_await claims_.Read(key);
+  // The key is claimed by someone, so nothing is known about whether the work ran.
+  if (!read.ok()) {
+    co_return Refuse(error_kind::kOutcomeUnknown, "the outcome of this key cannot be read now", outcome_url);
+  }
+  claim_record claim = std::move(*read);
+  if (!digest.empty() && !claim.digest.empty() && claim.digest != digest) {
+    co_return Refuse(error_kind::kIdempotencyKeyReused, "the key was used for another request");
+  }
+  if (claim.state == claim_state::kClaimed && !co_await AskTarget(key, claim)) {
+    SettleInBackground(key, claim);
+    co_return Refuse(error_kind::kDuplicateInProgress, "a request with this key is in progress", outcome_url);
+  }
+  switch (claim.state) {
+    case claim_state::kDone:
+      co_return AnswerWith(claim);
+    case claim_state::kUnresolved:
+      co_return Refuse(error_kind::kOutcomeUnknown, "the target could not tell what came of this request");
+    default:
+      co_return Refuse(error_kind::kNotFound, "no request with this key has run");
+  }
+}
+
+// Asks the target for the outcome; true when it is known, and then stored and in `claim`.
+asio::awaitable<bool> request_router::AskTarget(std::string key, claim_record& claim) {
+  const auto record = co_await executors_.Query(claim.address, claim.execution, settings_.query_timeout);
+  if (!record.ok() || record->state != protocol::execution_record::phase::kFinished) co_return false;
+  claim.state = claim_state::kDone;
+  claim.status = record->status;
+  claim.content_type = "application/json";
+  claim.body = record->body;
+  claims_.Complete(key, claim);
+  co_return true;
+}
+
+asio::awaitable<routed_result> request_router::SettleUntil(claimed_request claimed,
+                                                           clock::time_point deadline) {
+  LOG(INFO) << "gateway: outcome of " << claimed.key << " is not known, asking " << claimed.claim.target;
+  milliseconds interval = kFirstQueryInterval;
+  for (;;) {
+    if (co_await AskTarget(claimed.key, claimed.claim)) co_return AnswerWith(claimed.claim);
+    if (Left(deadline) <= interval) break;
+    co_await transport::Sleep(interval);
+    interval = std::min(interval * 2, kLongestQueryInterval);
+  }
+  SettleInBackground(claimed.key, claimed.claim);
+  co_return Refuse(error_kind::kOutcomeUnknown, "the target has not told yet what came of the request",
+                   claimed.outcome_url);
+}
+
+void request_router::SettleInBackground(const std::string& key, claim_record claim) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (stopping_ || !settling_.emplace(key, claim).second) return;
+  }
+  ++settling_count_;
+  asio::co_spawn(
+      pool_.next(), [this, key, claim] { return Settle(key, claim); }, asio::detached);
+}
+
+asio::awaitable<void> request_router::Settle(std::string key, claim_record claim) {
+  const clock::time_point end = clock::now() + claim.settle_limit;
+  milliseconds interval = kFirstQueryInterval;
+  bool settled = false;
+  while (!settled && !stopping_ && clock::now() < end) {
+    co_await transport::Sleep(interval);
+    interval = std::min(interval * 2, kLongestQueryInterval);
+    settled = co_await AskTarget(key, claim);
+  }
+  if (!settled && !stopping_) {
+    // "unknown" from a target does not prove that it never ran there: the target may have restarted, and a
+    // byte of a paused sender may still be on its way. So the key is closed for good.
+    LOG(WARNING) << "gateway: outcome of " << key << " stays unresolved, target " << claim.target;
+    claim.state = claim_state::kUnresolved;
+    claims_.Complete(key, claim);
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    settling_.erase(key);
+  }
+  --settling_count_;
+}
+
+asio::awaitable<routed_result> request_router::Outcome(std::string workspace, std::string idempotency_key) {
+  const std::string encoded = transport::PercentEncode(idempotency_key);
+  std::string key = protocol::ClaimKey(transport::PercentEncode(workspace), encoded);
+  co_return co_await AnswerExisting(std::move(key), "", "/v1/outcomes/" + encoded);
+}
+
+json request_router::Dump() const {
+  const std::lock_guard lock(mutex_);
+  json result = json::object();
+  for (const auto& [key, claim] : settling_) {
+    result[key] = {{"target", claim.target}, {"address", claim.address}, {"execution", claim.execution}};
+  }
+  return result;
+}
+
+}  // namespace hickorystall::coordination
--- /dev/null
+++ b/src/coordination/request_router.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+
+#include "coordination/claim_store.h"
+#include "coordination/request_router_slots.h"
+#include "protocol/executor_client.h"
+#include "state/config/cluster_config.h"
+#include "state/error_kind.h"
+#include "state/metrics/request_metrics.h"
+#include "transport/http_message.h"
+#include "transport/worker_pool.h"
+
+namespace hickorystall::coordination {
+
+/// Settings of the request router.
+struct request_router_settings {
+  /// Time beyond the timeout of its kind for which the outcome of a non-idempotent request is asked for
+  /// before it is recorded as unresolved.
+  std::chrono::milliseconds settle_limit{30000};
+  /// Timeout of one question to a target about an execution.
+  std::chrono::milliseconds query_timeout{500};
+};
+
+/// A request that was authenticated and checked.
+struct routed_request {
+  /// Workspace of the caller.
+  std::string workspace;
+  /// Rules of its kind.
+  state::work_kind kind;
+  /// Body.
+  std::string body;
+  /// Key of a non-idempotent request, else empty.
+  std::string idempotency_key;
+  /// Time from now to the last byte of the answer.
+  std::chrono::milliseconds timeout{0};
+};
+
+/// What the caller is told: an answer of the target or a refusal.
+struct routed_result {
+  /// The refusal; nothing for an answer.
+  std::optional<state::error_kind> refusal;
+  /// Why it was refused, in one sentence.
+  std::string message;
+  /// Path at which the outcome can be asked for; empty when it is known.
+  std::string outcome_url;
+  /// Status, content type and body of the target's answer.
+  int status = 0;
+  std::string content_type;
+  std::string body;
+};
+
+/// Sends requests to executors: idempotent ones with retries on other targets, non-idempotent ones at most
+/// once under a claim in the table (docs/design.md, sections 5.5, 5.7 and 5.8). Thread-safe.
+class request_router {
+ public:
+  /// The references must outlive the router.
+  request_router(protocol::executor_client& executors, request_router_slots& slots, claim_store& claims,
+                 state::request_metrics& metrics, transport::worker_pool& pool,
+                 request_router_settings settings);
+
+  /// Runs `request` and returns what to tell the caller.
+  boost::asio::awaitable<routed_result> Route(routed_request request);
+  /// Returns the outcome of the non-idempotent request of `workspace` with `idempotency_key`.
+  boost::asio::awaitable<routed_result> Outcome(std::string workspace, std::string idempotency_key);
+
+  /// Ends the settlements that run in the background; the claims stay in the table for other gateways.
+  void Stop() { stopping_ = true; }
+  /// Settlements that run in the background.
+  int settling() const { return settling_count_; }
+  /// Claims whose outcome is being asked for.
+  nlohmann::json Dump() const;
+
+ private:
+  using time_point = std::chrono::steady_clock::time_point;
+  // One non-idempotent request on its way.
+  struct claimed_request {
+    std::string key;
+    std::string outcome_url;
+    claim_record claim;
+    // Targets that proved not to have run it.
+    std::vector<std::string> excluded;
+    // True once a claim of this request may stand in the table.
+    bool wrote_claim = false;
+  };
+
+  boost::asio::awaitable<routed_result> RouteIdempotent(routed_request request, time_point deadline);
+  boost::asio::awaitable<routed_result> RouteAtMostOnce(routed_request request, time_point deadline);
+  boost::asio::awaitable<protocol::execution_result> Attempt(const routed_request& request,
+                                                             const state::chosen_target& target,
+                                                             std::string id,
+                                                             std::chrono::milliseconds timeout);
+  boost::asio::awaitable<std::optional<routed_result>> AttemptClaimed(const routed_request& request,
+                                                                      claimed_request& claimed,
+                                                                      const state::chosen_target& target,
+                                                                      time_point deadline);
+  boost::asio::awaitable<routed_result> AnswerExisting(std::string key, std::string digest,
+                                                       std::string outcome_url);
+  boost::asio::awaitable<routed_result> SettleUntil(claimed_request claimed, time_point deadline);
+  boost::asio::awaitable<bool> AskTarget(std::string key, claim_record& claim);
+  void SettleInBackground(const std::string& key, claim_record claim);
+  boost::asio::awaitable<void> Settle(std::string key, claim_record claim);
+  routed_result RefuseNotRun(const absl::Status& reason, claimed_request& claimed);
+
+  protocol::executor_client& executors_;
+  request_router_slots& slots_;
+  claim_store& claims_;
+  state::request_metrics& metrics_;
+  transport::worker_pool& pool_;
+  const request_router_settings settings_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<int> settling_count_{0};
+  // Guards `settling_`.
+  mutable state::ranked_mutex mutex_{state::lock_rank::kClaimTable};
+  std::map<std::string, claim_record> settling_;
+};
+
+}  // namespace hickorystall::coordination
--- /dev/null
+++ b/src/programs/gateway/gateway_api.cpp
@@ -0,0 +1,199 @@
+#include "programs/gateway/gateway_api.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "protocol/error_response.h"
+#include "protocol/token_hash.h"
+#include "state/text.h"
+
+namespace hickorystall::programs::gateway {
+
+namespace asio = boost::asio;
+using coordination::job_result;
+using coordination::routed_result;
+using nlohmann::json;
+using state::error_kind;
+using std::chrono::milliseconds;
+using transport::http_request;
+using transport::http_response;
+
+namespace {
+
+constexpr std::size_t kMaxKeyLength = 256;
+constexpr std::size_t kMaxCancels = 10000;
+// Counted for callers whose workspace is not proved, so that invented names cannot fill the metrics.
+constexpr char kNoWorkspace[] = "";
+
+// Returns the field or parameter as a whole number of milliseconds from 0, `absent` when it is empty and
+// nothing when it is not valid.
+std::optional<milliseconds> ParseMillis(std::string_view text, milliseconds absent) {
+  if (text.empty()) return absent;
+  std::int64_t value = 0;
+  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool valid = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size() && value >= 0;
+  return valid ? std::optional<milliseconds>(value) : std::nullopt;
+}
+
+// A key becomes part of a row's key and of a path, and an id is echoed: printable ASCII is enough for both.
+bool IsPrintable(std::string_view text) {
+  return text.size() <= kMaxKeyLength &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < 0x7f; });
+}
+
+}  // namespace
+
+const gateway_api::route gateway_api::kRoutes[] = {
+    {"POST", "/v1/requests/", &gateway_api::RouteRequest},
+    {"GET", "/v1/outcomes/", &gateway_api::ShowOutcome},
+    {"POST", "/v1/jobs", &gateway_api::SubmitJob},
+    {"GET", "/v1/jobs", &gateway_api::ListJobs},
+    {"POST", "/v1/jobs/cancel", &gateway_api::CancelJobs},
+    {"GET", "/v1/jobs/", &gateway_api::ShowJob},
+    {"DELETE", "/v1/jobs/", &gateway_api::CancelJob},
+};
+
+asio::awaitable<http_response> gateway_api::Answer(http_request request) {
+  const std::string path(request.path());
+  bool known_path = false;
+  const route* chosen = nullptr;
+  std::string tail;
+  for (const route& candidate : kRoutes) {
+    const bool below = candidate.path.ends_with('/') && path.size() > candidate.path.size() &&
+                       path.starts_with(candidate.path);
+    if (path != candidate.path && !below) continue;
+    if (candidate.path.ends_with('/') && !below) continue;
+    known_path = true;
+    if (candidate.method != request.method || chosen != nullptr) continue;
+    chosen = &candidate;
+    tail = transport::PercentDecode(std::string_view(path).substr(candidate.path.size()));
+  }
+  if (!known_path) co_return Refuse(kNoWorkspace, error_kind::kNotFound, "no such path");
+  if (chosen == nullptr) {
+    co_return Refuse(kNoWorkspace, error_kind::kMethodNotAllowed, "the path does not allow this method");
+  }
+  caller_request call{{}, config_.current(), std::string(request.Header("X-Workspace")), tail};
+  if (call.config == nullptr) {
+    co_return Refuse(kNoWorkspace, error_kind::kNotReady, "no configuration is in force yet");
+  }
+  const state::workspace_config* workspace = call.config->config.FindWorkspace(call.workspace);
+  const std::string_view token = protocol::BearerToken(request.Header("Authorization"));
+  // An unknown workspace and a wrong token get the same answer, so names cannot be probed.
+  if (workspace == nullptr || token.empty() || !protocol::TokenMatches(token, workspace->token_sha256)) {
+    co_return Refuse(kNoWorkspace, error_kind::kUnauthorized, "unknown workspace or wrong token");
+  }
+  if (request.body.size() > static_cast<std::size_t>(call.config->config.limits.max_body_bytes)) {
+    co_return Refuse(call.workspace, error_kind::kBodyTooLarge, "the request body is larger than the limit");
+  }
+  call.http = std::move(request);
+  co_return co_await (this->*chosen->handle)(std::move(call));
+}
+
+http_response gateway_api::Refuse(const std::string& workspace, error_kind kind, std::string_view message,
+                                  std::string_view outcome_url) {
+  metrics_.RecordRefusal(workspace, kind);
+  return protocol::MakeErrorResponse(kind, message, outcome_url);
+}
+
+http_response gateway_api::AnswerRouted(const std::string& workspace, routed_result result) {
+  if (result.refusal.has_value()) {
+    return Refuse(workspace, *result.refusal, result.message, result.outcome_url);
+  }
+  http_response response{result.status, {}, std::move(result.body)};
+  if (!result.content_type.empty()) response.headers.emplace_back("Content-Type", result.content_type);
+  return response;
+}
+
+http_response gateway_api::AnswerJob(const std::string& workspace, job_result result) {
+  if (result.refusal.has_value()) return Refuse(workspace, *result.refusal, result.message);
+  return transport::JsonResponse(result.status,
+                                 result.body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+asio::awaitable<http_response> gateway_api::RouteRequest(caller_request request) {
+  const auto arrival = std::chrono::steady_clock::now();
+  const state::work_kind* kind = request.config->config.FindKind(request.tail);
+  if (kind == nullptr || kind->kind != state::work_class::kRequest) {
+    co_return Refuse(request.workspace, error_kind::kUnknownKind, "no kind of request has this name");
+  }
+  const std::string key(request.http.Header("Idempotency-Key"));
+  if (!kind->idempotent && key.empty()) {
+    co_return Refuse(request.workspace, error_kind::kMissingIdempotencyKey,
+                     "this kind of request needs an Idempotency-Key");
+  }
+  std::string id(request.http.Header("X-Request-Id"));
+  const auto timeout = ParseMillis(request.http.Header("X-Timeout-Ms"), kind->timeout);
+  if (!IsPrintable(key) || !IsPrintable(id) || !timeout.has_value() || *timeout == milliseconds(0)) {
+    co_return Refuse(request.workspace, error_kind::kBadRequest,
+                     "Idempotency-Key, X-Request-Id or X-Timeout-Ms is not valid");
+  }
+  if (id.empty()) id = protocol::RandomId();
+  routed_result result = co_await router_.Route(
+      {request.workspace, *kind, std::move(request.http.body), key, std::min(*timeout, kind->timeout)});
+  if (!result.refusal.has_value()) {
+    metrics_.RecordAnswer(request.workspace, std::chrono::steady_clock::now() - arrival);
+  }
+  http_response response = AnswerRouted(request.workspace, std::move(result));
+  response.headers.emplace_back("X-Request-Id", id);
+  co_return response;
+}
+
+asio::awaitable<http_response> gateway_api::ShowOutcome(caller_request request) {
+  if (!IsPrintable(request.tail)) {
+    co_return Refuse(request.workspace, error_kind::kBadRequest, "the key is not valid");
+  }
+  co_return AnswerRouted(request.workspace, co_await router_.Outcome(request.workspace, request.tail));
+}
+
+asio::awaitable<http_response> gateway_api::SubmitJob(caller_request request) {
+  const std::string key(request.http.Header("Idempotency-Key"));
+  if (!IsPrintable(key)) {
+    co_return Refuse(request.workspace, error_kind::kBadRequest, "the Idempotency-Key is not valid");
+  }
+  job_result result =
+      co_await jobs_.Submit(request.config, request.workspace, std::move(request.http.body), key);
+  co_return AnswerJob(request.workspace, std::move(result));
+}
+
+asio::awaitable<http_response> gateway_api::ListJobs(caller_request request) {
+  co_return AnswerJob(request.workspace, co_await jobs_.List(request.workspace));
+}
+
+asio::awaitable<http_response> gateway_api::ShowJob(caller_request request) {
+  const auto wait = ParseMillis(request.http.QueryParameter("wait_ms"), milliseconds(0));
+  if (!wait.has_value()) {
+    co_return Refuse(request.workspace, error_kind::kBadRequest, "wait_ms is not valid");
+  }
+  co_return AnswerJob(request.workspace, co_await jobs_.Get(request.workspace, request.tail, *wait));
+}
+
+asio::awaitable<http_response> gateway_api::CancelJob(caller_request request) {
+  // GCC 12 cannot compile a braced list within a co_await expression.
+  std::vector<std::string> ids{request.tail};
+  job_result result = co_await jobs_.Cancel(request.workspace, std::move(ids));
+  if (result.refusal.has_value()) co_return AnswerJob(request.workspace, std::move(result));
+  json answer = result.body["jobs"][0];
+  if (answer["result"] == "not_found") {
+    co_return Refuse(request.workspace, error_kind::kNotFound, "no such job");
+  }
+  result.status = answer["result"] == "accepted" ? 202 : 200;
+  result.body = std::move(answer);
+  co_return AnswerJob(request.workspace, std::move(result));
+}
+
+asio::awaitable<http_response> gateway_api::CancelJobs(caller_request request) {
+  const json body = json::parse(request.http.body, nullptr, false);
+  const bool valid =
+      body.is_object() && body.size() == 1 && body.contains("jobs") && body["jobs"].is_array() &&
+      body["jobs"].size() <= kMaxCancels &&
+      std::all_of(body["jobs"].begin(), body["jobs"].end(), [](const json& id) { return id.is_string(); });
+  if (!valid) {
+    co_return Refuse(request.workspace, error_kind::kBadRequest,
+                     state::StrCat("the body must be {\"jobs\":[...]} with at most ", kMaxCancels, " ids"));
+  }
+  co_return AnswerJob(request.workspace,
+                      co_await jobs_.Cancel(request.workspace, body["jobs"].get<std::vector<std::string>>()));
+}
+
+}  // namespace hickorystall::programs::gateway
--- /dev/null
+++ b/src/state/metrics/request_metrics.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "state/error_kind.h"
+#include "state/ranked_mutex.h"
+
+namespace hickorystall::state {
+
+/// Counters and duration quantiles of the requests of each workspace. Thread-safe.
+class request_metrics {
+ public:
+  request_metrics() = default;
+
+  /// Records an answered request and its duration from arrival to answer.
+  void RecordAnswer(const std::string& workspace, std::chrono::nanoseconds duration);
+  /// Records a refusal.
+  void RecordRefusal(const std::string& workspace, error_kind kind);
+  /// Records the end of an attempt on a target; `outcome` is a short name such as "timed_out".
+  void RecordAttempt(const std::string& target, const std::string& outcome, bool retry);
+
+  /// Returns everything in the Prometheus text format (version 0.0.4). Durations are in seconds.
+  std::string ToText() const;
+
+ private:
+  using quantiles = boost::accumulators::accumulator_set<
+      double, boost::accumulators::stats<boost::accumulators::tag::extended_p_square>>;
+  struct workspace_entry {
+    workspace_entry();
+    std::int64_t answered = 0;
+    double duration_sum = 0;
+    quantiles durations;
+    std::map<error_kind, std::int64_t> refusals;
+  };
+
+  // Guards the members below.
+  mutable ranked_mutex mutex_{lock_rank::kMetrics};
+  std::map<std::string, workspace_entry> workspaces_;
+  std::map<std::pair<std::string, std::string>, std::int64_t> attempts_;
+  std::int64_t retries_ = 0;
+};
+
+/// Returns `text` escaped as a label value of the Prometheus text format.
+std::string EscapeLabel(std::string_view text);
+
+}  // namespace hickorystall::state
