--- a/tests/support/harness/test_http.cpp
+++ b/tests/support/harness/test_http.cpp
@@ -42,13 +42,13 @@
 bool test_connection::PeerHasClosed() {
   if (stream_ == nullptr) return true;
   char byte = 0;
-  return ::recv(stream_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  return ::recv(stream_->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
 }
 
 test_response test_connection::Send(transport::http_request request, std::chrono::milliseconds timeout) {
   test_response result;
   const auto deadline = std::chrono::steady_clock::now() + timeout;
-  if (stream_ == nullptr) {
+  if (PeerHasClosed()) {
     stream_ = std::make_unique<open_stream>();
     stream_->stream.expires_at(deadline);
     const tcp::endpoint target(asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port_));
@@ -72,6 +72,7 @@
   message.body() = std::move(request.body);
   message.prepare_payload();
   stream_->stream.expires_at(deadline);
+  result.bytes_sent = true;
   auto error = stream_->Run([&](auto done) { http::async_write(stream_->stream, message, done); });
   http::response_parser<http::string_body> parser;
   parser.body_limit(std::uint64_t{256} << 20);
--- a/tests/support/harness/test_http.h
+++ b/tests/support/harness/test_http.h
@@ -17,6 +17,8 @@
   transport::header_list headers;
   /// Body.
   std::string body;
+  /// True when the peer may have received a byte of the request.
+  bool bytes_sent = false;
   /// Why no whole response was read; empty otherwise.
   std::string failure;
 
@@ -34,13 +36,14 @@
   test_connection(const test_connection&) = delete;
   test_connection& operator=(const test_connection&) = delete;
 
-  /// Sends the request and reads the response within `timeout`. After a failure or a response that closes
-  /// the connection the next call connects again.
+  /// Sends the request and reads the response within `timeout`. A connection that the peer has closed, or on
+  /// which it has announced that, is replaced before anything is sent. After a failure or a response that
+  /// closes the connection the next call connects again.
   test_response Send(transport::http_request request,
                      std::chrono::milliseconds timeout = std::chrono::seconds(10));
   /// True while a connection is open that the last response did not close.
   bool is_open() const;
-  /// True when the peer has closed the idle connection.
+  /// True when the peer has closed the idle connection or has sent an answer that nobody asked for.
   bool PeerHasClosed();
 
  private:
--- a/tests/transport/http_stop_test.cpp
+++ b/tests/transport/http_stop_test.cpp
@@ -149,6 +149,7 @@
     }
   };
   std::vector<std::thread> clients;
+  clients.reserve(8);
   for (int i = 0; i < 8; ++i) clients.emplace_back(connect_until_refused);
   while (answered < 200) std::this_thread::sleep_for(milliseconds(1));
   server->StopAccepting();
