Avoid braced temporaries in co_await expressions

Cause: a gateway ended with 'free(): invalid pointer' right after its start, in the poll of the VM list. GCC 12 destroys an aggregate temporary inside a co_await expression twice. Ruled out: the HTTP client's pool (its tests pass under ASan) and the order of destruction at a stop. Change: name each request before it is awaited; scripts/check_coroutines.py fails on new ones and is part of test.sh. Conclusion: the compiler fault is avoided, not repaired, so the check stays.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,6 +5,7 @@
 scripts/install_dependencies.sh
 scripts/check_format.sh
 scripts/check_layers.sh
+scripts/check_coroutines.py
 scripts/build.sh build
 scripts/lint.sh build
 scripts/build.sh build-sanitize -DHICKORYSTALL_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -124,8 +124,9 @@
 asio::awaitable<execution_result> request_router::Attempt(const routed_request& request,
                                                           const chosen_target& target, std::string id,
                                                           milliseconds timeout) {
-  execution_result result =
-      co_await executors_.Execute({target.address, std::move(id), request.kind.name, request.body, timeout});
+  protocol::execution_request attempt{target.address, std::move(id), request.kind.name, request.body,
+                                      timeout};
+  execution_result result = co_await executors_.Execute(std::move(attempt));
   const bool usual = timeout >= UsualAttemptTimeout(request.kind);
   slots_.Release(target, ToHealth(result.outcome, usual), result.reported_load);
   metrics_.RecordAttempt(target.name, std::string(protocol::ExecuteOutcomeName(result.outcome)),
--- a/src/programs/gateway/gateway_api.cpp
+++ b/src/programs/gateway/gateway_api.cpp
@@ -129,8 +129,9 @@
                      "Idempotency-Key, X-Request-Id or X-Timeout-Ms is not valid");
   }
   if (id.empty()) id = protocol::RandomId();
-  routed_result result = co_await router_.Route(
-      {request.workspace, *kind, std::move(request.http.body), key, std::min(*timeout, kind->timeout)});
+  coordination::routed_request routed{request.workspace, *kind, std::move(request.http.body), key,
+                                      std::min(*timeout, kind->timeout)};
+  routed_result result = co_await router_.Route(std::move(routed));
   if (!result.refusal.has_value()) {
     metrics_.RecordAnswer(request.workspace, std::chrono::steady_clock::now() - arrival);
   }
--- a/src/protocol/executor_client.cpp
+++ b/src/protocol/executor_client.cpp
@@ -79,8 +79,8 @@
 
 asio::awaitable<absl::StatusOr<execution_record>> executor_client::Query(std::string address, std::string id,
                                                                          std::chrono::milliseconds timeout) {
-  const transport::http_exchange exchange = co_await http_.Send(
-      address, {"GET", "/v1/executions/" + transport::PercentEncode(id), {}, ""}, timeout);
+  transport::http_request request{"GET", "/v1/executions/" + transport::PercentEncode(id), {}, ""};
+  const transport::http_exchange exchange = co_await http_.Send(address, std::move(request), timeout);
   if (!exchange.status.ok()) co_return absl::UnavailableError(std::string(exchange.status.message()));
   const json body = json::parse(exchange.response.body, nullptr, false);
   if (exchange.response.status != 200 || !body.is_object() || !body.contains("state") ||
@@ -102,8 +102,8 @@
 }
 
 asio::awaitable<bool> executor_client::IsServing(std::string address, std::chrono::milliseconds timeout) {
-  const transport::http_exchange exchange =
-      co_await http_.Send(address, {"GET", "/v1/health", {}, ""}, timeout);
+  transport::http_request request{"GET", "/v1/health", {}, ""};
+  const transport::http_exchange exchange = co_await http_.Send(address, std::move(request), timeout);
   if (!exchange.status.ok() || exchange.response.status != 200) co_return false;
   const json body = json::parse(exchange.response.body, nullptr, false);
   co_return body.is_object() && body.value("state", json()) == "serving";
