Add the peer mesh, configuration push and the instance directory

Cause: instances did not know each other, and an accepted configuration reached them by polling the table only.

Change: transport/peer_socket sends whole messages over ZeroMQ PUSH/PULL with ZMTP pings; one thread owns the sockets. coordination/peer_mesh adds heartbeats every 2 s, the live peer list by role, config push, config query and job hints. A peer that names a higher version in its heartbeat is asked for it, so a lost push is repaired without the store. A stopping instance announces that it leaves and no longer counts as live. coordination/config_store reads and writes the rows of the configuration; documents over 32 KiB go to the object store. coordination/ instance_directory writes the own row, reads the others every 5 s and deletes rows without a sign of life for two hours.

Ruled out: ZMQ_FD inside the Asio loops, because its edge-triggered descriptor needs a drain after every call on the socket and a missed one stalls the peer link.

Before: no peer link.

--- a/src/coordination/config_keeper.cpp
+++ b/src/coordination/config_keeper.cpp
@@ -3,8 +3,9 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
+#include <optional>
 
+#include "coordination/config_store.h"
 #include "protocol/job_codec.h"
 #include "state/config/config_parser.h"
 #include "transport/async_event.h"
@@ -14,8 +15,9 @@
 namespace asio = boost::asio;
 using clock = std::chrono::steady_clock;
 
-config_keeper::config_keeper(protocol::table_client& table, config_keeper_settings settings)
-    : table_(table), settings_(settings) {}
+config_keeper::config_keeper(protocol::table_client& table, object_reader read_object,
+                             config_keeper_settings settings)
+    : table_(table), read_object_(std::move(read_object)), settings_(settings) {}
 
 config_keeper::config_ptr config_keeper::current() const {
   const std::lock_guard lock(mutex_);
@@ -71,14 +73,10 @@
   const absl::StatusOr<protocol::table_row> head = co_await table_.Read(protocol::ConfigHeadKey());
   if (!head.ok()) co_return;
   RecordStoreContact(clock::now());
-  const auto document = nlohmann::json::parse(head->value, nullptr, false);
-  if (!document.is_object()) co_return;
-  const std::int64_t newest = document.value("version", std::int64_t{0});
-  if (newest <= version()) co_return;
-  const absl::StatusOr<protocol::table_row> row = co_await table_.Read(protocol::ConfigVersionKey(newest));
-  if (!row.ok() || row->version == 0) co_return;
-  const auto entry = nlohmann::json::parse(row->value, nullptr, false);
-  if (entry.is_object()) Offer(newest, entry.value("body", ""));
+  const std::optional<config_head> newest = DecodeConfigHead(head->value);
+  if (!newest.has_value() || newest->version <= version()) co_return;
+  absl::StatusOr<std::string> body = co_await ReadConfigBody(table_, read_object_, newest->version);
+  if (body.ok()) Offer(newest->version, std::move(*body));
 }
 
 asio::awaitable<void> config_keeper::Run(std::function<bool()> stop) {
--- a/src/coordination/config_keeper.h
+++ b/src/coordination/config_keeper.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <vector>
 
+#include "coordination/config_store.h"
 #include "protocol/table_client.h"
 #include "state/config/cluster_config.h"
 #include "state/ranked_mutex.h"
@@ -27,8 +28,8 @@
   using config_ptr = std::shared_ptr<const state::versioned_config>;
   using listener = std::function<void(const config_ptr&)>;
 
-  /// `table` must outlive the keeper.
-  config_keeper(protocol::table_client& table, config_keeper_settings settings);
+  /// `table` must outlive the keeper. `read_object` reads the documents that are too large for a row.
+  config_keeper(protocol::table_client& table, object_reader read_object, config_keeper_settings settings);
 
   /// The configuration in force; null before the first.
   config_ptr current() const;
@@ -51,6 +52,7 @@
   void RecordStoreContact(std::chrono::steady_clock::time_point now);
 
   protocol::table_client& table_;
+  const object_reader read_object_;
   const config_keeper_settings settings_;
   // Guards the members below.
   mutable state::ranked_mutex mutex_{state::lock_rank::kConfig};
--- a/src/programs/common/server_program.cpp
+++ b/src/programs/common/server_program.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 #include <signal.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -21,6 +22,17 @@
 // Interval at which a stop looks whether the last request has been answered.
 constexpr std::chrono::milliseconds kDrainCheck{10};
 
+coordination::peer_mesh_settings MakeMeshSettings(const std::string& role, const server_settings& settings) {
+  coordination::peer_mesh_settings mesh;
+  mesh.instance = settings.instance;
+  mesh.role = role;
+  mesh.vm = settings.vm;
+  mesh.listen = settings.peer_listen;
+  mesh.advertise = settings.peer_advertise;
+  mesh.seeds = settings.seeds;
+  return mesh;
+}
+
 }  // namespace
 
 void InitializeProcess(const char* program) {
@@ -35,7 +47,14 @@
       pool_(static_cast<std::size_t>(settings_.worker_threads)),
       http_(pool_, {}),
       platform_(http_, settings_.platform),
-      config_(platform_, settings_.config) {}
+      config_(
+          platform_, [this](std::string name) { return platform_.GetObject(std::move(name)); },
+          settings_.config),
+      mesh_(config_, MakeMeshSettings(prefix_, settings_)),
+      directory_(platform_, mesh_, {}) {
+  mesh_.SetReadiness([this] { return IsReady(); });
+  AddDump("peers", [this] { return DumpPeers(); });
+}
 
 server_program::~server_program() { pool_.Stop(); }
 
@@ -59,6 +78,38 @@
   co_return co_await handle_(std::move(request));
 }
 
+bool server_program::IsReady() const {
+  return !stopping_ && config_.IsReady(clock::now()) &&
+         std::all_of(readiness_.begin(), readiness_.end(), [](const auto& is_ready) { return is_ready(); });
+}
+
+void server_program::AddPeerTasks() {
+  AddTask([this] { return mesh_.Run([this] { return stopping(); }); });
+  AddTask([this] { return directory_.Run([this] { return stopping(); }); });
+}
+
+nlohmann::json server_program::DumpPeers() const {
+  nlohmann::json peers = nlohmann::json::array();
+  const clock::time_point now = clock::now();
+  for (const coordination::peer_info& peer : mesh_.AllPeers()) {
+    const auto silent = std::chrono::duration_cast<std::chrono::milliseconds>(now - peer.last_heard);
+    peers.push_back({{"instance", peer.instance},
+                     {"role", peer.role},
+                     {"vm", peer.vm},
+                     {"endpoint", peer.endpoint},
+                     {"config_version", peer.config_version},
+                     {"ready", peer.ready},
+                     {"leaving", peer.leaving},
+                     {"silent_ms", silent.count()}});
+  }
+  const coordination::peer_mesh_counters counters = mesh_.counters();
+  return {{"endpoint", mesh_.self().endpoint},
+          {"peers", peers},
+          {"messages_sent", counters.messages_sent},
+          {"bytes_sent", counters.bytes_sent},
+          {"messages_received", counters.messages_received}};
+}
+
 transport::http_response server_program::AnswerReady() const {
   if (stopping_) return protocol::MakeErrorResponse(state::error_kind::kNotReady, "stopping");
   if (!config_.IsReady(clock::now())) {
@@ -101,6 +152,12 @@
     LOG(ERROR) << prefix_ << ": " << started.message();
     return 1;
   }
+  const absl::Status mesh_started = mesh_.Start();
+  if (!mesh_started.ok()) {
+    LOG(ERROR) << prefix_ << ": " << mesh_started.message();
+    return 1;
+  }
+  AddPeerTasks();
   AddTask([this] { return config_.Run([this] { return stopping(); }); });
   for (const auto& task : tasks_) {
     ++running_tasks_;
@@ -126,6 +183,7 @@
 void server_program::StopGracefully() {
   LOG(INFO) << prefix_ << ": stopping, not ready from now on";
   stopping_ = true;
+  mesh_.AnnounceLeaving();
   server_->BeginDrain();
   std::this_thread::sleep_for(settings_.drain_notice);
   server_->StopAccepting();
@@ -135,6 +193,7 @@
       << prefix_ << ": " << server_->requests_in_flight() << " requests were cut off at the drain limit";
   for (const auto& action : stop_actions_) action();
   while (running_tasks_ > 0 && clock::now() < limit) std::this_thread::sleep_for(kDrainCheck);
+  mesh_.Stop();
   pool_.Stop();
   LOG(INFO) << prefix_ << ": stopped";
 }
--- a/src/programs/common/server_program.h
+++ b/src/programs/common/server_program.h
@@ -11,6 +11,8 @@
 #include <vector>
 
 #include "coordination/config_keeper.h"
+#include "coordination/instance_directory.h"
+#include "coordination/peer_mesh.h"
 #include "programs/common/server_settings.h"
 #include "protocol/table_client.h"
 #include "transport/http_client.h"
@@ -23,7 +25,7 @@
 /// configuration and the order of a graceful stop.
 class server_program {
  public:
-  /// `prefix` starts each log line of this class, such as "gateway".
+  /// `prefix` starts each log line of this class and is the role that peers see, such as "gateway".
   server_program(std::string prefix, server_settings settings);
   ~server_program();
   server_program(const server_program&) = delete;
@@ -33,6 +35,7 @@
   transport::http_client& http() { return http_; }
   protocol::platform_client& platform() { return platform_; }
   coordination::config_keeper& config() { return config_; }
+  coordination::peer_mesh& mesh() { return mesh_; }
   const server_settings& settings() const { return settings_; }
 
   /// Handles every path besides the common ones. Set before Run.
@@ -58,6 +61,9 @@
 
  private:
   boost::asio::awaitable<transport::http_response> Route(transport::http_request request);
+  bool IsReady() const;
+  void AddPeerTasks();
+  nlohmann::json DumpPeers() const;
   transport::http_response AnswerReady() const;
   transport::http_response AnswerDump(const transport::http_request& request) const;
   void WaitForSignal();
@@ -69,6 +75,8 @@
   transport::http_client http_;
   protocol::platform_client platform_;
   coordination::config_keeper config_;
+  coordination::peer_mesh mesh_;
+  coordination::instance_directory directory_;
   transport::http_server::handler handle_;
   std::vector<std::function<bool()>> readiness_;
   std::vector<std::pair<std::string, std::function<nlohmann::json()>>> dumps_;
--- a/src/programs/common/server_settings.cpp
+++ b/src/programs/common/server_settings.cpp
@@ -55,6 +55,7 @@
   reader.Read("config_poll_ms", settings.config.poll_interval, kSmallest, kLargest);
   reader.Read("contact_limit_ms", settings.config.contact_limit, kSmallest, kLargest);
   reader.Read("peer_listen", settings.peer_listen);
+  reader.Read("peer_advertise", settings.peer_advertise);
   reader.Read("seeds", settings.seeds);
   reader.Read("worker_threads", settings.worker_threads, 1, 64);
   reader.Read("operator_token_sha256", settings.operator_token_sha256);
--- a/src/programs/common/server_settings.h
+++ b/src/programs/common/server_settings.h
@@ -29,6 +29,8 @@
   coordination::config_keeper_settings config;
   /// "ip:port" of the socket for peer messages.
   std::string peer_listen;
+  /// "ip:port" that peers are told to use; empty for `peer_listen`.
+  std::string peer_advertise;
   /// "ip:port" of peers to contact before the instance directory has been read.
   std::vector<std::string> seeds;
   /// Event loops, one thread each.
