--- a/tests/integration/stop_test.cpp
+++ b/tests/integration/stop_test.cpp
@@ -40,7 +40,8 @@
 struct stop_fixture {
   explicit stop_fixture(int service_ms = 20) : executors(cluster, 3, service_ms) {
     cluster.StartAll();
-    const std::int64_t version = cluster.ApplyConfig(MakeConfig({executors.ports(), {}}).dump());
+    // The worker does not exist, so that a job stays unfinished.
+    const std::int64_t version = cluster.ApplyConfig(MakeConfig({executors.ports(), {FreePort()}}).dump());
     REQUIRE(cluster.WaitForVersion(version));
     REQUIRE(cluster.WaitReady());
   }
@@ -90,7 +91,7 @@
 
 void CheckNothingCut(const load_report& report) {
   INFO("requests " << report.requests << ", refused as not run " << report.refused << ", not connected "
-                   << report.not_connected);
+                   << report.not_connected << ", answered " << report.answered);
   for (const std::string& answer : report.unexpected) UNSCOPED_INFO(answer);
   CHECK(report.unexpected.empty());
   CHECK(report.cut == 0);
@@ -144,6 +145,7 @@
   REQUIRE(submitted.status == 202);
   const std::string path = "/v1/jobs/" + submitted.Json().at("job").get<std::string>() + "?wait_ms=60000";
   std::vector<std::future<test_response>> waits;
+  waits.reserve(5);
   for (int i = 0; i < 5; ++i) {
     waits.push_back(std::async(std::launch::async, [&] {
       return SendOnce(port, CallerRequest("matching", "GET", path), std::chrono::seconds(60));
--- a/tests/support/harness/test_cluster.cpp
+++ b/tests/support/harness/test_cluster.cpp
@@ -3,6 +3,7 @@
 #include <fstream>
 #include <stdexcept>
 
+#include "coordination/config_store.h"
 #include "protocol/job_codec.h"
 #include "protocol/token_hash.h"
 
@@ -170,10 +171,17 @@
 std::int64_t test_cluster::WriteConfigRows(const std::string& text) {
   const json head = json::parse(ReadRow(protocol::ConfigHeadKey()), nullptr, false);
   const std::int64_t version = 1 + (head.is_object() ? head.value("version", std::int64_t{0}) : 0);
-  const json puts = {{{"key", protocol::ConfigVersionKey(version)},
-                      {"value", json{{"version", version}, {"body", text}, {"writer", "harness"}}.dump()}},
-                     {{"key", protocol::ConfigHeadKey()},
-                      {"value", json{{"version", version}, {"writer", "harness"}}.dump()}}};
+  coordination::config_entry entry;
+  entry.version = version;
+  entry.base = version - 1;
+  entry.writer = "harness";
+  entry.digest = protocol::Sha256Hex(text);
+  entry.bytes = static_cast<std::int64_t>(text.size());
+  entry.body = text;
+  const json puts = {
+      {{"key", protocol::ConfigVersionKey(version)}, {"value", coordination::EncodeConfigEntry(entry)}},
+      {{"key", protocol::ConfigHeadKey()},
+       {"value", json{{"version", version}, {"writer", "harness"}}.dump()}}};
   const test_response response =
       SendOnce(platform_port_, JsonRequest("POST", "/v1/transact", {{"puts", puts}}));
   if (response.status != 200) throw std::runtime_error("platform refused the rows: " + response.body);
