--- a/src/coordination/config_store.h
+++ b/src/coordination/config_store.h
@@ -47,7 +47,7 @@
   std::string operation;
   /// Identifies the write, to settle a lost reply.
   std::string writer;
-  /// SHA-256 of the document.
+  /// SHA-256 of the document; empty in a row that was not written by an admin instance.
   std::string digest;
   /// Size of the document in bytes.
   std::int64_t bytes = 0;
--- a/src/programs/common/server_program.cpp
+++ b/src/programs/common/server_program.cpp
@@ -28,7 +28,8 @@
   mesh.role = role;
   mesh.vm = settings.vm;
   mesh.listen = settings.peer_listen;
-  mesh.advertise = settings.peer_advertise;
+  // The bound address is told when no other is set, because the port may be chosen at the start.
+  if (settings.peer_address != settings.peer_listen) mesh.advertise = settings.peer_address;
   mesh.seeds = settings.seeds;
   return mesh;
 }
--- a/src/state/config/config_parser.cpp
+++ b/src/state/config/config_parser.cpp
@@ -201,9 +201,9 @@
   if (document.value.is_discarded()) return result;
   ReadDocument({document, result.errors}, result.config);
   // A guarantee can only be judged on an inventory that was read completely.
-  const bool complete = result.errors.empty();
   ValidateReferences(result.config, document, result.errors);
-  if (complete && result.errors.empty()) ValidateCapacity(result.config, document, result.errors);
+  result.complete = result.errors.empty();
+  if (result.complete) ValidateCapacity(result.config, document, result.errors);
   std::stable_sort(
       result.errors.begin(), result.errors.end(),
       [](const document_error& left, const document_error& right) { return left.line < right.line; });
