--- a/src/programs/common/server_program.h
+++ b/src/programs/common/server_program.h
@@ -66,7 +66,6 @@
   nlohmann::json DumpPeers() const;
   transport::http_response AnswerReady() const;
   transport::http_response AnswerDump(const transport::http_request& request) const;
-  void WaitForSignal();
   void StopGracefully();
 
   const std::string prefix_;
--- a/tests/support/harness/test_cluster.cpp
+++ b/tests/support/harness/test_cluster.cpp
@@ -96,7 +96,7 @@
   }
   if (options_.proxied) {
     settings["platform"]["endpoint"] = Loopback(AddLink(instance.name + ">platform", platform_port_));
-    settings["peer_address"] = Loopback(AddLink("peers>" + instance.name, instance.peer_port));
+    settings["peer_advertise"] = Loopback(AddLink("peers>" + instance.name, instance.peer_port));
   }
   settings.merge_patch(options_.settings);
   if (const auto own = options_.role_settings.find(instance.runs); own != options_.role_settings.end()) {
