Treat absent lists of the configuration as empty

Cause: a document without racks, VMs, workspaces or kinds was refused, so a new installation could not start with an empty inventory and the stop test failed. A misspelt key is still reported as unknown.

--- a/src/state/config/config_parser.cpp
+++ b/src/state/config/config_parser.cpp
@@ -157,7 +157,7 @@
 
 void ReadInventory(const parse_context& context, const json& value, cluster_config& config) {
   object_reader reader(context.document, value, "inventory", context.errors);
-  for (const char* key : {"failure_domains", "racks", "vms", "workspaces"}) reader.Require(key);
+  // An absent list is an empty one; a misspelt key is reported as unknown.
   reader.Read("failure_domains", config.failure_domains);
   config.racks = ReadObjects(context, reader, "racks", ReadRack);
   config.vms = ReadObjects(context, reader, "vms", ReadVm);
@@ -174,7 +174,6 @@
 
 void ReadRules(const parse_context& context, const json& value, cluster_config& config) {
   object_reader reader(context.document, value, "rules", context.errors);
-  reader.Require("kinds");
   config.kinds = ReadObjects(context, reader, "kinds", ReadKind);
   if (const json* limits = reader.Member("limits"); limits != nullptr) {
     ReadLimits(context, *limits, config.limits);
