--- a/src/coordination/claim_store.h
+++ b/src/coordination/claim_store.h
@@ -69,7 +69,7 @@
 class claim_store {
  public:
   /// Bodies above this size go into the object store.
-  static constexpr std::size_t kMaxBodyInRow = 16 * 1024;
+  static constexpr std::size_t kMaxBodyInRow = std::size_t{16} * 1024;
 
   /// The references must outlive the store.
   claim_store(protocol::platform_client& platform, transport::worker_pool& pool);
