--- /dev/null
+++ b/benchmarks/scheduling/checks.cpp
@@ -0,0 +1,45 @@
+#include "checks.h"
+
+#include <cstdio>
+#include <string>
+
+#include "cluster_run.h"
+#include "decision_cost.h"
+#include "load.h"
+#include "measures.h"
+
+namespace hickorystall::benchmark {
+namespace {
+
+/// Growth of n log n from 1/8 of the two-year size to the whole: 8 ln(870) / ln(108.75).
+constexpr double kMaxGrowth = 11.5;
+
+/// Prints a broken bound; returns whether it holds.
+bool Holds(const std::string& where, const char* what, double value, double bound) {
+  const bool holds = value <= bound;
+  std::printf("%s: %s: %g, bound %g%s\n", where.c_str(), what, value, bound, holds ? "" : ": BROKEN");
+  return holds;
+}
+
+/// Checks one load. The bounds are the targets of design section 1.6.
+bool CheckLoad(const load& input) {
+  const run_measures m = Measure(cluster_run(input, state::kDefaultPolicy).Run(std::chrono::hours(48)));
+  bool good = Holds(input.name, "urgent start p99 in s", m.urgent_p99_s, 4.3);
+  good &= Holds(input.name, "work lost to reclaim", m.lost, 0.02);
+  good &= Holds(input.name, "impossible jobs kept", m.impossible_kept, 0);
+  good &= Holds(input.name, "jobs that never ended", m.unfinished, 0);
+  return good;
+}
+
+}  // namespace
+
+bool RunChecks(std::uint64_t seed) {
+  bool good = true;
+  for (const load& input : MakeLoads(seed, true)) good &= CheckLoad(input);
+  const decision_cost small = MeasureDecisionCost(seed, 0.125);
+  const decision_cost large = MeasureDecisionCost(seed, 1);
+  good &= Holds("decision", "growth of the cost", large.steady_least_ms / small.steady_least_ms, kMaxGrowth);
+  return good;
+}
+
+}  // namespace hickorystall::benchmark
--- a/src/state/scheduling/capacity_view.cpp
+++ b/src/state/scheduling/capacity_view.cpp
@@ -10,18 +10,6 @@
 /// Mask with the `count` lowest bits set.
 std::uint64_t LowBits(int count) { return count >= 64 ? ~std::uint64_t{0} : (std::uint64_t{1} << count) - 1; }
 
-/// Number of disjoint runs of `count` adjacent bits in `mask`, at most `limit`.
-int RunsOf(std::uint64_t mask, int count, int limit) {
-  int runs = 0;
-  while (mask != 0 && runs < limit) {
-    const int start = std::countr_zero(mask);
-    const int length = std::countr_one(mask >> start);
-    runs += length / count;
-    mask &= ~(LowBits(length) << start);
-  }
-  return std::min(runs, limit);
-}
-
 }  // namespace
 
 capacity_view::capacity_view(const worker_topology& topology)
@@ -68,7 +56,18 @@
     limit = static_cast<int>(std::min<std::int64_t>(limit, free.memory_mib / spec.memory_mib));
   }
   if (limit <= 0) return 0;
-  return spec.accelerators > 0 ? RunsOf(free.accelerators, spec.accelerators, limit) : limit;
+  return spec.accelerators > 0 ? CountRuns(free.accelerators, spec.accelerators, limit) : limit;
+}
+
+int CountRuns(std::uint64_t mask, int count, int limit) {
+  int runs = 0;
+  while (mask != 0 && runs < limit) {
+    const int start = std::countr_zero(mask);
+    const int length = std::countr_one(mask >> start);
+    runs += length / count;
+    mask &= ~(LowBits(length) << start);
+  }
+  return std::min(runs, limit);
 }
 
 int LongestRun(std::uint64_t mask) {
--- a/src/state/scheduling/capacity_view.h
+++ b/src/state/scheduling/capacity_view.h
@@ -75,6 +75,8 @@
 
 /// Length of the longest run of adjacent set bits.
 int LongestRun(std::uint64_t mask);
+/// Number of disjoint runs of `count` adjacent bits in `mask`, at most `limit`.
+int CountRuns(std::uint64_t mask, int count, int limit);
 /// Returns `count` adjacent bits of `free`, from the shortest run that has them and aligned to `count` where
 /// possible; 0 when there is no such run or `count` is 0.
 std::uint64_t FindRun(std::uint64_t free, int count);
--- a/src/state/scheduling/cluster_state.cpp
+++ b/src/state/scheduling/cluster_state.cpp
@@ -97,14 +97,14 @@
   return limit == 0 || used_[entry.workspace] + AcceleratorsOf(entry.job->spec) <= limit;
 }
 
-void cluster_state::Take(const queued_job& entry, const assignment& places, bool reclaimable) {
+int cluster_state::Take(const queued_job& entry, const assignment& places, bool reclaimable) {
   const job_spec& spec = entry.job->spec;
   free_.Take(places, spec);
   soon_.Take(places, spec);
   used_[entry.workspace] += AcceleratorsOf(spec);
-  if (reclaimable) return;
-  ledger_.Consume(entry.workspace, spec);
+  if (reclaimable) return 0;
   firm_.Take(places, spec);
+  return ledger_.Consume(entry.workspace, spec);
 }
 
 void cluster_state::Reclaim(int index) {
--- a/src/state/scheduling/cluster_state.h
+++ b/src/state/scheduling/cluster_state.h
@@ -41,8 +41,8 @@
   /// True when the workspace of `entry` may use that many accelerators more.
   bool IsWithinQuota(const queued_job& entry) const;
   /// Takes `places` for `entry`, which starts now or once the capacity is free. A job that is not reclaimable
-  /// uses the guarantee of its workspace as far as it lies within it.
-  void Take(const queued_job& entry, const assignment& places, bool reclaimable);
+  /// uses the guarantee of its workspace as far as it lies within it; returns how many members do.
+  int Take(const queued_job& entry, const assignment& places, bool reclaimable);
   /// Records that the allocation at `index` is being reclaimed.
   void Reclaim(int index);
 
--- a/src/state/scheduling/decision_pass.cpp
+++ b/src/state/scheduling/decision_pass.cpp
@@ -1,6 +1,7 @@
 #include "state/scheduling/decision_pass.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 
 #include "state/scheduling/run_time_estimate.h"
@@ -11,6 +12,16 @@
 
 /// Least wait that a move must save. A move costs its job a checkpoint of a second and a start.
 constexpr std::chrono::milliseconds kMinWaitSaved{60000};
+/// Wait after which a large job goes before all but urgent and guaranteed work.
+constexpr std::chrono::milliseconds kWaitBeforeFront{600000};
+/// Run time before work is moved. The second that a checkpoint takes is then less than 2% of the work done.
+constexpr std::chrono::milliseconds kMinRunBeforeMove{60000};
+/// How long a move waits for work in the way that ends by itself; the shortest that gives a place is used.
+constexpr std::array<std::chrono::milliseconds, 4> kMoveDrains{
+    {std::chrono::seconds(0), std::chrono::minutes(1), std::chrono::minutes(5), std::chrono::minutes(20)}};
+
+/// True for a job that small ones could keep waiting for ever, because it needs much room in one place.
+bool IsLarge(const job_spec& spec) { return spec.members > 1 || spec.accelerators >= 4; }
 
 /// True when a place for `a` would be a place for `b`, or part of one, within the same rules.
 bool NeedsNoMoreThan(const queued_job& a, const queued_job& b) {
@@ -25,7 +36,7 @@
 decision_pass::decision_pass(const scheduling_policy& policy, const scheduling_snapshot& snapshot,
                              wall_time now)
     : policy_(policy),
-      snapshot_(snapshot),
+
       now_(now),
       state_(policy, snapshot, now),
       feasibility_(*snapshot.config, state_.topology()) {
@@ -44,10 +55,32 @@
     }
   }
   policy_.order(others, now_);
+  MoveOldestGangsForward(others);
   for (const queued_job& entry : others) Consider(entry);
   return std::move(decision_);
 }
 
+void decision_pass::MoveOldestGangsForward(std::vector<queued_job>& queue) const {
+  if (policy_.reservations == 0) return;
+  std::vector<queued_job> gangs;
+  for (const queued_job& entry : queue) {
+    if (IsLarge(entry.job->spec) && !entry.job->spec.urgent && ExplainBarred(entry).empty() &&
+        now_ - entry.job->submitted_at >= kWaitBeforeFront)
+      gangs.push_back(entry);
+  }
+  OrderByAge(gangs, now_);
+  const std::size_t count = std::min(gangs.size(), static_cast<std::size_t>(policy_.reservations));
+  const auto rank = [&](const queued_job& entry) -> std::size_t {
+    if (entry.job->spec.urgent) return 0;
+    for (std::size_t i = 0; i < count; ++i) {
+      if (gangs[i].job == entry.job) return 1 + i;
+    }
+    return 1 + count;
+  };
+  std::stable_sort(queue.begin(), queue.end(),
+                   [&](const queued_job& a, const queued_job& b) { return rank(a) < rank(b); });
+}
+
 void decision_pass::Consider(const queued_job& entry) {
   const std::string& id = entry.job->id;
   if (std::string why = ExplainBarred(entry); !why.empty()) {
@@ -152,9 +185,9 @@
 
 void decision_pass::Take(const queued_job& entry, const assignment& places) {
   const bool reclaimable = IsReclaimable(entry);
-  state_.Take(entry, places, reclaimable);
+  const bool in_guarantee = state_.Take(entry, places, reclaimable) > 0;
   if (!policy_.guarantees || reclaimable) return;
-  plan_ = PlanGuarantees(state_.ledger(), state_.firm());
+  if (in_guarantee || plan_.Touches(places)) plan_ = PlanGuarantees(state_.ledger(), state_.firm());
 }
 
 void decision_pass::Reclaim(int index, const std::string& reason) {
@@ -185,6 +218,7 @@
 }
 
 void decision_pass::TryReserve(const queued_job& entry) {
+  if (!IsLarge(entry.job->spec)) return;
   if (static_cast<int>(reservations_.size()) >= policy_.reservations) return;
   const auto reserved =
       ReserveEarliest(state_, entry, *policy_.placement, Restrict(state_.soon(), entry), now_);
@@ -196,35 +230,55 @@
 }
 
 bool decision_pass::TryMove(const queued_job& entry, const reservation& reserved) {
-  if (reserved.start - now_ < kMinWaitSaved || !IsReclaimable(entry)) return false;
+  if (!IsReclaimable(entry)) return false;
+  for (const std::chrono::milliseconds drain : kMoveDrains) {
+    if (reserved.start - now_ - drain < kMinWaitSaved) break;
+    const auto choice = ChooseMove(entry, drain);
+    // A move pays when everything that must leave fits elsewhere at once, so that it loses a checkpoint only.
+    if (choice && !choice->victims.empty() && FitsElsewhere(entry, *choice)) {
+      CommandMove(entry, *choice, "moved to make room for job ");
+      return true;
+    }
+  }
+  return false;
+}
+
+std::optional<reclaim_choice> decision_pass::ChooseMove(const queued_job& entry,
+                                                        std::chrono::milliseconds drain) const {
   const double ratio = ResponseRatio(entry, now_);
-  // A move pays when everything that must leave fits elsewhere at once, so that it loses a checkpoint only.
-  capacity_view target = state_.soon();
+  capacity_view target = Restrict(state_.soon(), entry);
   reclaim_request request{&entry.job->spec, &target, {}};
   for (const allocation& other : state_.allocations()) {
     const bool movable = other.reclaimable && !other.leaving && other.job->spec.may_checkpoint &&
                          !other.job->spec.urgent && other.job->state == job_state::kRunning &&
+                         now_ - other.job->started_at >= kMinRunBeforeMove &&
                          // One that came first in the queue again would take the place back.
                          ResponseRatio({other.job, other.workspace, false, other.remaining}, now_) < ratio;
-    request.eligible.push_back(movable);
-    if (movable) target.Release(other.places, other.job->spec);
+    const bool ends = !other.leaving && other.remaining <= drain;
+    request.eligible.push_back(movable && !ends);
+    if (movable || ends) target.Release(other.places, other.job->spec);
   }
-  const std::optional<reclaim_choice> choice = ChooseReclaim(state_, request);
-  if (!choice || choice->victims.empty()) return false;
+  return ChooseReclaim(state_, request);
+}
+
+void decision_pass::CommandMove(const queued_job& entry, const reclaim_choice& choice,
+                                std::string_view reason) {
+  for (int index : choice.victims) Reclaim(index, StrCat(reason, entry.job->id));
+  Take(entry, choice.places);
+}
+
+bool decision_pass::FitsElsewhere(const queued_job& entry, const reclaim_choice& choice) const {
   capacity_view after = state_.free();
-  for (int index : choice->victims) {
+  for (int index : choice.victims) {
     after.Release(state_.allocations()[index].places, state_.allocations()[index].job->spec);
   }
-  after.Take(choice->places, entry.job->spec);
-  for (int index : choice->victims) {
+  after.Take(choice.places, entry.job->spec);
+  return std::all_of(choice.victims.begin(), choice.victims.end(), [&](int index) {
     const job_spec& spec = state_.allocations()[index].job->spec;
     const auto elsewhere = FindPlacement(after, spec, *policy_.placement);
-    if (!elsewhere) return false;
-    after.Take(*elsewhere, spec);
-  }
-  for (int index : choice->victims) Reclaim(index, StrCat("moved to make room for job ", entry.job->id));
-  Take(entry, choice->places);
-  return true;
+    if (elsewhere) after.Take(*elsewhere, spec);
+    return elsewhere.has_value();
+  });
 }
 
 }  // namespace hickorystall::state
--- a/src/state/scheduling/decision_pass.h
+++ b/src/state/scheduling/decision_pass.h
@@ -35,8 +35,18 @@
   bool TryRefuse(const queued_job& entry);
   /// Sets capacity aside for the first jobs that wait for it, and moves work out of the way where it pays.
   void TryReserve(const queued_job& entry);
-  /// Moves checkpointed work away from a place for `entry` when all of it fits elsewhere at once.
+  /// Moves the oldest large jobs to the front of the non-urgent ones, so that they reserve before smaller
+  /// jobs start.
+  void MoveOldestGangsForward(std::vector<queued_job>& queue) const;
+  /// Moves checkpointed work away from a place for `entry` when that lets it start well before `reserved`.
   bool TryMove(const queued_job& entry, const reservation& reserved);
+  /// Chooses checkpointed work to move so that `entry` can start once the rest in the way has ended, within
+  /// `drain`. The response ratio of what moves must be below that of `entry`.
+  std::optional<reclaim_choice> ChooseMove(const queued_job& entry, std::chrono::milliseconds drain) const;
+  /// Commands the reclaim of what `choice` names and holds its place for `entry`.
+  void CommandMove(const queued_job& entry, const reclaim_choice& choice, std::string_view reason);
+  /// True when all that `choice` reclaims fits elsewhere at once.
+  bool FitsElsewhere(const queued_job& entry, const reclaim_choice& choice) const;
   /// True when `job` counts as work that can be taken back for a guarantee.
   bool IsReclaimable(const queued_job& entry) const;
   /// Returns `view` without what `entry` must leave to others.
@@ -56,8 +66,6 @@
 
   /// Policy in force.
   const scheduling_policy& policy_;
-  /// The snapshot.
-  const scheduling_snapshot& snapshot_;
   /// Time of the decision.
   wall_time now_;
   /// Workers, jobs and capacity.
--- a/src/state/scheduling/feasibility_check.cpp
+++ b/src/state/scheduling/feasibility_check.cpp
@@ -20,7 +20,7 @@
 }  // namespace
 
 feasibility_check::feasibility_check(const cluster_config& config, const worker_topology& topology)
-    : config_(config), empty_(topology), ledger_(config, topology) {}
+    : config_(config), empty_(topology) {}
 
 std::string feasibility_check::Explain(int workspace, const job_spec& spec) {
   if (std::string invalid = ExplainInvalid(spec); !invalid.empty()) return invalid;
@@ -42,14 +42,15 @@
 }
 
 bool feasibility_check::FitsBesideGuarantees(int workspace, const job_spec& spec) {
-  if (ledger_.Covers(workspace, spec)) return true;
+  if (!ledger_) ledger_.emplace(config_, empty_.topology());
+  if (ledger_->Covers(workspace, spec)) return true;
   if (!beside_guarantees_) {
     beside_guarantees_ = empty_;
-    PlanGuarantees(ledger_, empty_).TakeFrom(*beside_guarantees_);
+    PlanGuarantees(*ledger_, empty_).TakeFrom(*beside_guarantees_);
   }
   if (FindPlacement(*beside_guarantees_, spec, kFirstFit)) return true;
   // The job uses the guarantee of its own workspace as far as it goes.
-  guarantee_ledger ledger = ledger_;
+  guarantee_ledger ledger = *ledger_;
   if (ledger.Consume(workspace, spec) == 0) return false;
   capacity_view view = empty_;
   PlanGuarantees(ledger, empty_).TakeFrom(view);
--- a/src/state/scheduling/feasibility_check.h
+++ b/src/state/scheduling/feasibility_check.h
@@ -26,8 +26,8 @@
   const cluster_config& config_;
   /// The empty cluster.
   capacity_view empty_;
-  /// Unused guarantees.
-  guarantee_ledger ledger_;
+  /// Unused guarantees; made when first needed.
+  std::optional<guarantee_ledger> ledger_;
   /// The empty cluster without room for the guarantees; made when first needed.
   std::optional<capacity_view> beside_guarantees_;
 };
--- a/src/state/scheduling/guarantee_ledger.cpp
+++ b/src/state/scheduling/guarantee_ledger.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 
 namespace hickorystall::state {
 namespace {
@@ -66,13 +67,16 @@
 }  // namespace
 
 guarantee_ledger::guarantee_ledger(const cluster_config& config, const worker_topology& topology) {
+  std::map<int, guaranteed_slot> slots;
   for (const workspace_config& workspace : config.workspaces) {
     std::vector<guaranteed_shape> ordered = workspace.guarantees;
     std::stable_sort(ordered.begin(), ordered.end(),
                      [](const auto& a, const auto& b) { return a.accelerators < b.accelerators; });
     std::vector<shape_state>& shapes = shapes_.emplace_back();
     for (const guaranteed_shape& shape : ordered) {
-      shapes.push_back({shape.placement, std::vector(shape.members, SlotOf(topology, shape.accelerators))});
+      const auto [slot, added] = slots.try_emplace(shape.accelerators);
+      if (added) slot->second = SlotOf(topology, shape.accelerators);
+      shapes.push_back({shape.placement, std::vector(shape.members, slot->second)});
     }
   }
 }
--- a/src/state/scheduling/guarantee_plan.cpp
+++ b/src/state/scheduling/guarantee_plan.cpp
@@ -5,12 +5,50 @@
 namespace hickorystall::state {
 namespace {
 
-/// Places `open` one after the other by `strategy`.
-guarantee_plan PlanWith(const std::vector<open_shape>& open, capacity_view view,
-                        const placement_strategy& strategy) {
+/// True when members of both take the same place.
+bool SameSizes(const job_spec& a, const job_spec& b) {
+  return a.accelerators == b.accelerators && a.processors == b.processors && a.memory_mib == b.memory_mib;
+}
+
+/// Finds first-fit places for a sequence of shapes. A run of single members of the same sizes goes on from
+/// the last worker, since those before it have no room; this keeps the plan of n guarantees from costing n
+/// squared.
+class first_fit_search {
+ public:
+  /// Finds a place for `spec` in `view`.
+  std::optional<assignment> Find(const capacity_view& view, const job_spec& spec) {
+    if (spec.members > 1) return FindPlacement(view, spec, kFirstFit);
+    if (!last_ || !SameSizes(spec, *last_)) next_ = 0;
+    last_ = spec;
+    for (; next_ < static_cast<int>(view.topology().workers().size()); ++next_) {
+      if (view.MembersThatFit(next_, spec, 1) == 0) continue;
+      return assignment{{next_, FindRun(view.at(next_).accelerators, spec.accelerators)}};
+    }
+    return std::nullopt;
+  }
+
+ private:
+  /// Sizes of the last single member.
+  std::optional<job_spec> last_;
+  /// First worker that may have room for them.
+  int next_ = 0;
+};
+
+/// Finds places that leave the least over.
+class least_left_over_search {
+ public:
+  /// Finds a place for `spec` in `view`.
+  static std::optional<assignment> Find(const capacity_view& view, const job_spec& spec) {
+    return FindPlacement(view, spec, kLeastLeftOver);
+  }
+};
+
+/// Places `open` one after the other by `search`.
+template <typename search_type>
+guarantee_plan PlanWith(const std::vector<open_shape>& open, capacity_view view, search_type search) {
   guarantee_plan plan;
   for (const open_shape& shape : open) {
-    std::optional<assignment> places = FindPlacement(view, shape.spec, strategy);
+    std::optional<assignment> places = search.Find(view, shape.spec);
     if (!places) {
       ++plan.missing;
       continue;
@@ -40,10 +78,10 @@
 
 guarantee_plan PlanGuarantees(const guarantee_ledger& ledger, const capacity_view& firm) {
   const std::vector<open_shape> open = ledger.Open();
-  guarantee_plan plan = PlanWith(open, firm, kFirstFit);
+  guarantee_plan plan = PlanWith(open, firm, first_fit_search());
   if (plan.missing == 0) return plan;
   // First fit is not optimal; a shape that it cannot place may fit when the others leave less over.
-  guarantee_plan other = PlanWith(open, firm, kLeastLeftOver);
+  guarantee_plan other = PlanWith(open, firm, least_left_over_search());
   return other.missing < plan.missing ? other : plan;
 }
 
--- a/src/state/scheduling/placement.cpp
+++ b/src/state/scheduling/placement.cpp
@@ -28,15 +28,18 @@
   return std::popcount(view.at(worker).accelerators);
 }
 
-/// Orders by failures in a row, then the run left over, then what is free in the rack. A task without
-/// accelerators goes where fewest accelerators depend on the worker's processors.
+/// Orders by failures in a row, whether the whole worker is free, what is free in the rack, the part of the
+/// longest run that is lost, and what is left on the worker. Whole workers and racks stay free for gangs. A
+/// task without accelerators goes where fewest accelerators depend on the worker's processors.
 std::int64_t LeftOver(const capacity_view& view, int worker, const job_spec& spec) {
   const worker_capacity& free = view.at(worker);
   const std::uint64_t run = FindRun(free.accelerators, spec.accelerators);
   const std::int64_t lost = LongestRun(free.accelerators) - LongestRun(free.accelerators & ~run);
   const std::int64_t left = std::popcount(free.accelerators) - spec.accelerators;
   const std::int64_t failures = std::min(free.failures, 15);
-  return (((failures * 128 + lost) * 128 + left) << 20) + view.FreeInRackOf(worker);
+  const bool whole = std::popcount(free.accelerators) == view.topology().workers()[worker].vm->accelerators;
+  const std::int64_t opens_worker = whole && left + spec.accelerators > 0 ? 1 : 0;
+  return (((failures * 2 + opens_worker) << 20) + view.FreeInRackOf(worker)) * 16384 + lost * 128 + left;
 }
 
 std::int64_t AnyScope(int /*spare*/) { return 0; }
--- a/src/state/scheduling/reclaim_choice.cpp
+++ b/src/state/scheduling/reclaim_choice.cpp
@@ -64,15 +64,18 @@
     return lost;
   }
 
-  /// The run of `count` accelerators in the target that loses the least work.
+  /// The run of `count` accelerators in the target that loses the least work. It must not split a longer run
+  /// so that fewer further members fit.
   std::uint64_t CheapestRun(int count) const {
     if (count == 0) return 0;
     const std::uint64_t low = count >= 64 ? ~std::uint64_t{0} : (std::uint64_t{1} << count) - 1;
+    const int runs = CountRuns(target_.accelerators, count, kMaxAcceleratorsPerWorker);
     std::uint64_t best = 0;
     double best_lost = 0;
     for (int start = 0; start + count <= kMaxAcceleratorsPerWorker; ++start) {
       const std::uint64_t run = low << start;
       if ((target_.accelerators & run) != run) continue;
+      if (CountRuns(target_.accelerators & ~run, count, kMaxAcceleratorsPerWorker) < runs - 1) continue;
       const double lost = LostOn(run);
       if (best != 0 && lost >= best_lost) continue;
       best = run;
--- a/src/state/scheduling/scheduling_policy.cpp
+++ b/src/state/scheduling/scheduling_policy.cpp
@@ -7,7 +7,7 @@
     .order = OrderByResponseRatio,
     .placement = &kLeastLeftOver,
     .strict_order = false,
-    .reservations = 1,
+    .reservations = 2,
     .guarantees = true,
     .reclaim_for_urgent = true,
     .defragment = true,
