--- /dev/null
+++ b/src/coordination/lease_renewer.cpp
@@ -0,0 +1,95 @@
+#include "coordination/lease_renewer.h"
+
+#include <algorithm>
+
+#include "coordination/gang_controller.h"
+#include "coordination/gang_controller_fanout.h"
+#include "protocol/token_hash.h"
+#include "state/text.h"
+#include "transport/async_event.h"
+
+namespace hickorystall::coordination {
+
+namespace asio = boost::asio;
+
+std::string ResponsiblePeer(const std::vector<std::string>& peers, std::string_view worker) {
+  std::string best;
+  std::string best_hash;
+  for (const std::string& peer : peers) {
+    std::string hash = protocol::Sha256Hex(state::StrCat(peer, "/", worker));
+    if (best.empty() || hash > best_hash) {
+      best = peer;
+      best_hash = std::move(hash);
+    }
+  }
+  return best;
+}
+
+lease_renewer::lease_renewer(protocol::worker_client& client, protocol::table_client& table,
+                             lease_renewer_settings settings, config_source config, peer_source live_peers)
+    : client_(client),
+      table_(table),
+      settings_(std::move(settings)),
+      config_(std::move(config)),
+      live_peers_(std::move(live_peers)) {}
+
+asio::awaitable<void> lease_renewer::Run(std::function<bool()> stop) {
+  // Looks at the stop condition more often than it renews.
+  constexpr std::chrono::milliseconds kStopCheck{100};
+  while (!stop()) {
+    const auto next = std::chrono::steady_clock::now() + settings_.interval;
+    co_await RenewAll();
+    while (!stop() && std::chrono::steady_clock::now() < next) co_await transport::Sleep(kStopCheck);
+  }
+}
+
+asio::awaitable<void> lease_renewer::ReadRevoked() {
+  const std::string prefix = RevokedLeaseKey(settings_.pool, "");
+  const absl::StatusOr<std::vector<protocol::table_row>> rows = co_await table_.Scan(prefix);
+  if (!rows.ok()) co_return;
+  revoked_.clear();
+  for (const protocol::table_row& row : *rows) revoked_.insert(row.key.substr(prefix.size()));
+}
+
+asio::awaitable<void> lease_renewer::RenewAll() {
+  const auto config = config_();
+  if (config == nullptr) co_return;
+  const std::vector<std::string> peers = live_peers_();
+  std::vector<std::string> endpoints;
+  for (const state::vm_config& vm : config->config.vms) {
+    if (vm.kind != state::vm_kind::kWorker) continue;
+    if (peers.empty() || ResponsiblePeer(peers, vm.name) == settings_.instance)
+      endpoints.push_back(vm.address);
+  }
+  workers_in_share_ = endpoints.size();
+  co_await ReadRevoked();
+  co_await RunForEach<int>(endpoints.size(), [this, &endpoints](std::size_t i) -> asio::awaitable<int> {
+    co_await RenewWorker(endpoints[i]);
+    co_return 0;
+  });
+}
+
+asio::awaitable<void> lease_renewer::RenewWorker(std::string endpoint) {
+  const absl::StatusOr<protocol::worker_report> report =
+      co_await client_.List(endpoint, -1, std::chrono::milliseconds(0), settings_.call_timeout);
+  if (!report.ok()) ++failed_calls_;
+  if (!report.ok()) co_return;
+  std::vector<std::string> leases;
+  for (const protocol::worker_task& task : report->tasks) {
+    if (protocol::IsLive(task.state) && !revoked_.contains(task.lease)) leases.push_back(task.lease);
+  }
+  if (leases.empty()) co_return;
+  const absl::StatusOr<protocol::lease_renewal> renewal =
+      co_await client_.Renew(endpoint, std::move(leases), settings_.lease_term, settings_.call_timeout);
+  if (!renewal.ok()) ++failed_calls_;
+  if (renewal.ok()) renewed_ += static_cast<std::int64_t>(renewal->renewed.size());
+}
+
+nlohmann::json lease_renewer::Dump() const {
+  return {{"workers_in_share", workers_in_share_},
+          {"renewed", renewed_},
+          {"failed_calls", failed_calls_},
+          {"revoked", revoked_}};
+}
+
+}  // namespace hickorystall::coordination
--- /dev/null
+++ b/src/coordination/lease_renewer.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/table_client.h"
+#include "protocol/worker_client.h"
+#include "state/config/cluster_config.h"
+
+namespace hickorystall::coordination {
+
+/// Settings of the lease renewer (docs/design.md, section 5.4).
+struct lease_renewer_settings {
+  /// Pool whose revoked leases are left out.
+  std::string pool;
+  /// Name of this instance.
+  std::string instance;
+  /// Term that a renewal grants.
+  std::chrono::milliseconds lease_term{15000};
+  /// Interval between renewals of one worker's leases.
+  std::chrono::milliseconds interval{5000};
+  /// Deadline of one call to a worker.
+  std::chrono::milliseconds call_timeout{1000};
+};
+
+/// Renews the task leases of this instance's share of the workers, from what each worker lists, whether or
+/// not the store answers. A lease that was stopped or has lapsed is dead on the worker, and one that the
+/// pool's owner has revoked is left to lapse. Not thread-safe: use it on one loop.
+class lease_renewer {
+ public:
+  using config_source = std::function<std::shared_ptr<const state::versioned_config>()>;
+  using peer_source = std::function<std::vector<std::string>()>;
+
+  /// `client` and `table` must outlive the renewer. `live_peers` returns the names of the live schedulers,
+  /// this one included; an empty list makes this instance renew for all workers.
+  lease_renewer(protocol::worker_client& client, protocol::table_client& table,
+                lease_renewer_settings settings, config_source config, peer_source live_peers);
+
+  /// Renews until `stop` returns true.
+  boost::asio::awaitable<void> Run(std::function<bool()> stop);
+  /// Renews once for every worker of this instance's share.
+  boost::asio::awaitable<void> RenewAll();
+  /// State for the dump.
+  nlohmann::json Dump() const;
+
+ private:
+  boost::asio::awaitable<void> RenewWorker(std::string endpoint);
+  boost::asio::awaitable<void> ReadRevoked();
+
+  protocol::worker_client& client_;
+  protocol::table_client& table_;
+  const lease_renewer_settings settings_;
+  const config_source config_;
+  const peer_source live_peers_;
+  std::set<std::string> revoked_;
+  std::int64_t renewed_ = 0;
+  std::int64_t failed_calls_ = 0;
+  std::size_t workers_in_share_ = 0;
+};
+
+/// Returns the peer that is responsible for `worker`: the one with the highest hash of both names (rendezvous
+/// hashing), so that a peer's end moves only its own workers. Empty when there are no peers.
+std::string ResponsiblePeer(const std::vector<std::string>& peers, std::string_view worker);
+
+}  // namespace hickorystall::coordination
--- a/src/programs/scheduler/main.cpp
+++ b/src/programs/scheduler/main.cpp
@@ -1,29 +1,33 @@
+#include "coordination/scheduler_loop.h"
 #include "programs/common/server_program.h"
+#include "programs/scheduler/scheduler_program_settings.h"
+#include "protocol/worker_client.h"
 
 namespace {
 
+namespace scheduler = hickorystall::programs::scheduler;
+using hickorystall::coordination::scheduler_loop;
 using hickorystall::programs::common::server_program;
-using hickorystall::programs::common::server_settings;
 
-server_settings ParseSettings(std::string_view text,
-                              std::vector<hickorystall::state::document_error>& errors) {
-  const hickorystall::state::located_json document = hickorystall::state::ParseLocatedJson(text);
-  errors = document.errors;
-  if (document.value.is_discarded()) return {};
-  hickorystall::state::object_reader reader(document, document.value, "", errors);
-  server_settings settings = hickorystall::programs::common::ReadServerSettings(reader, document, errors);
-  reader.Finish();
-  return settings;
-}
-
-int RunProgram(server_settings settings) {
-  server_program program("scheduler", std::move(settings));
+int RunProgram(scheduler::scheduler_program_settings settings) {
+  server_program program("scheduler", settings.server);
+  hickorystall::protocol::http_worker_client workers(program.http());
+  scheduler_loop loop(
+      program.platform(), workers, settings.scheduler,
+      {hickorystall::state::Decide, hickorystall::state::ExplainImpossible},
+      [&program] { return program.config().current(); },
+      [&program] { return program.platform().LeavingVms(); },
+      [&settings] { return settings.peers_for_leases; });
+  program.AddReadiness([&loop] { return loop.ready(); });
+  program.AddDump("scheduler", [&loop] { return loop.RequestDump(); });
+  program.AddTask([&] { return loop.Run([&program] { return program.stopping(); }); });
   return program.Run();
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
-  return hickorystall::programs::common::RunServerProgram<server_settings>(
-      argc, argv, "hickorystall-scheduler", "hickorystall scheduler", ParseSettings, RunProgram);
+  return hickorystall::programs::common::RunServerProgram<scheduler::scheduler_program_settings>(
+      argc, argv, "hickorystall-scheduler", "hickorystall scheduler", scheduler::ParseSchedulerSettings,
+      RunProgram);
 }
--- a/src/protocol/table_client.cpp
+++ b/src/protocol/table_client.cpp
@@ -115,7 +115,9 @@
   co_return exchange;
 }
 
-// Returns the response, kUnavailable when the request had no effect, or kUnknown when it may have had one.
+// GCC 12 destroys an aggregate that is a temporary in the operand of co_await twice, so each request is a
+// named variable. Returns the response, kUnavailable when the request had no effect, or kUnknown when it may
+// have had one.
 asio::awaitable<absl::StatusOr<transport::http_response>> platform_client::Call(
     transport::http_request request, bool repeatable) {
   const clock::time_point deadline = clock::now() + settings_.call_timeout;
@@ -167,7 +169,8 @@
     const std::string target =
         state::StrCat("/v1/scan?prefix=", transport::PercentEncode(prefix),
                       "&after=", transport::PercentEncode(after), "&limit=", kScanPageRows);
-    absl::StatusOr<transport::http_response> response = co_await Call({"GET", target, {}, ""}, true);
+    transport::http_request request{"GET", target, {}, ""};
+    absl::StatusOr<transport::http_response> response = co_await Call(std::move(request), true);
     if (!response.ok()) co_return response.status();
     const json body = json::parse(response->body, nullptr, false);
     if (response->status != 200 || !body.is_object() || !body.contains("rows"))
@@ -190,8 +193,8 @@
 }
 
 asio::awaitable<absl::StatusOr<std::string>> platform_client::GetObject(std::string name) {
-  absl::StatusOr<transport::http_response> response =
-      co_await Call({"GET", "/v1/objects/" + transport::PercentEncode(name), {}, ""}, true);
+  transport::http_request request{"GET", "/v1/objects/" + transport::PercentEncode(name), {}, ""};
+  absl::StatusOr<transport::http_response> response = co_await Call(std::move(request), true);
   if (!response.ok()) co_return response.status();
   if (response->status == 404) co_return absl::NotFoundError("no object " + name);
   if (response->status != 200) co_return UnexpectedAnswer(*response);
@@ -199,7 +202,8 @@
 }
 
 asio::awaitable<absl::StatusOr<std::vector<std::string>>> platform_client::LeavingVms() {
-  absl::StatusOr<transport::http_response> response = co_await Call({"GET", "/v1/vms", {}, ""}, true);
+  transport::http_request request{"GET", "/v1/vms", {}, ""};
+  absl::StatusOr<transport::http_response> response = co_await Call(std::move(request), true);
   if (!response.ok()) co_return response.status();
   const json body = json::parse(response->body, nullptr, false);
   if (response->status != 200 || !body.is_object() || !body.contains("vms"))
