--- a/src/state/config/config_parser.h
+++ b/src/state/config/config_parser.h
@@ -11,8 +11,10 @@
 
 /// Result of parsing a configuration document.
 struct config_parse_result {
-  /// The configuration; only meaningful when `errors` is empty.
+  /// The configuration; only meaningful when `complete` is true.
   cluster_config config;
+  /// True when the document was read completely, so that `errors` holds at most guarantees that do not fit.
+  bool complete = false;
   /// Every error found, in the order of the document.
   std::vector<document_error> errors;
 };
