Test the distribution of configuration with real processes

Cause: acceptance, distribution and recovery of configuration versions had unit tests only.

Change: tests/integration/config_test.cpp, tag [config], 8 cases.

Ruled out in the tests: a late instance that other instances have as a seed; they contact it, so it is never without a version.

--- /dev/null
+++ b/tests/integration/config_test.cpp
@@ -0,0 +1,346 @@
+#include <signal.h>
+
+#include <algorithm>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <future>
+#include <set>
+#include <thread>
+
+#include "state/text.h"
+#include "tests/support/harness/test_cluster.h"
+
+namespace hickorystall::harness {
+namespace {
+
+using nlohmann::json;
+using state::StrCat;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using clock = std::chrono::steady_clock;
+
+// Time in which an accepted version must be in force everywhere (docs/design.md, I8).
+constexpr milliseconds kInForceLimit{4000};
+// A poll interval that never comes round in a test: switches polling off.
+constexpr int kNoPollMs = 3600000;
+
+// A document that differs from others by a limit.
+std::string Document(int number) {
+  return StrCat("{\"inventory\": {}, // change ", number,
+                "\n\"rules\": {\"limits\": {\"max_jobs_per_workspace\": ", number, "}}}");
+}
+
+transport::http_request OperatorRequest(std::string method, std::string target, std::string body = {}) {
+  return {std::move(method),
+          std::move(target),
+          {{"Authorization", StrCat("Bearer ", kOperatorToken)}, {"X-Operator", "ann"}},
+          std::move(body)};
+}
+
+test_response Apply(const server_instance& admin, std::int64_t base, const std::string& text) {
+  return SendOnce(admin.http_port, OperatorRequest("PUT", StrCat("/v1/config?base=", base), text),
+                  seconds(20));
+}
+
+json GetJson(const server_instance& admin, const std::string& target) {
+  return SendOnce(admin.http_port, OperatorRequest("GET", target)).Json();
+}
+
+// Version that the instance says is in force; 0 when it is not ready or does not answer.
+std::int64_t VersionOf(const server_instance& instance, milliseconds timeout = seconds(2)) {
+  const test_response answer = SendOnce(instance.http_port, {"GET", "/ready", {}, ""}, timeout);
+  return answer.status == 200 ? answer.Json().value("config_version", std::int64_t{0}) : 0;
+}
+
+// Waits until each instance knows every other one, so that a push reaches all of them.
+bool WaitForMesh(test_cluster& cluster) {
+  const std::size_t others = cluster.instances().size() - 1;
+  for (auto& instance : cluster.instances()) {
+    const bool complete = WaitUntil(
+        [&] {
+          const json dump = SendOnce(instance->http_port, OperatorRequest("GET", "/dump")).Json();
+          return dump.is_object() && dump["peers"]["peers"].size() >= others;
+        },
+        seconds(10));
+    if (!complete) return false;
+  }
+  return true;
+}
+
+// Reads the version of every instance all the time and notes each one that goes back.
+class revert_watch {
+ public:
+  explicit revert_watch(test_cluster& cluster) {
+    for (auto& instance : cluster.instances()) {
+      threads_.emplace_back([this, target = instance.get()] { Watch(*target); });
+    }
+  }
+  ~revert_watch() { Stop(); }
+  revert_watch(const revert_watch&) = delete;
+  revert_watch& operator=(const revert_watch&) = delete;
+
+  // Ends the watch and returns the number of versions seen to go back.
+  int Stop() {
+    stop_ = true;
+    for (std::thread& thread : threads_) thread.join();
+    threads_.clear();
+    return reverts_;
+  }
+  int samples() const { return samples_; }
+
+ private:
+  void Watch(const server_instance& instance) {
+    std::int64_t highest = 0;
+    while (!stop_) {
+      const std::int64_t version = VersionOf(instance, milliseconds(300));
+      if (version > 0) ++samples_;
+      if (version > 0 && version < highest) ++reverts_;
+      highest = std::max(highest, version);
+      std::this_thread::sleep_for(milliseconds(20));
+    }
+  }
+
+  std::atomic<bool> stop_{false};
+  std::atomic<int> reverts_{0};
+  std::atomic<int> samples_{0};
+  std::vector<std::thread> threads_;
+};
+
+// Applies a change and returns the time from sending it until every instance has it in force.
+milliseconds TimeUntilInForce(test_cluster& cluster, std::int64_t base) {
+  const clock::time_point start = clock::now();
+  auto answer = std::async(std::launch::async, [&] {
+    return Apply(cluster.Instance(role::kAdmin, 1), base, Document(static_cast<int>(base) + 1));
+  });
+  const bool in_force = cluster.WaitForVersion(base + 1, seconds(20));
+  const auto elapsed = std::chrono::duration_cast<milliseconds>(clock::now() - start);
+  const test_response response = answer.get();
+  INFO(response.body << response.failure);
+  CHECK(response.status == 200);
+  CHECK(in_force);
+  return elapsed;
+}
+
+// Guards against a change that some instance takes up late, with the store quick and slow.
+TEST_CASE("an accepted version is in force on all instances within 4 s", "[config]") {
+  test_cluster cluster;
+  cluster.StartAll();
+  REQUIRE(Apply(cluster.Instance(role::kAdmin, 1), 0, Document(1)).status == 200);
+  REQUIRE(cluster.WaitForVersion(1));
+  REQUIRE(WaitForMesh(cluster));
+  revert_watch watch(cluster);
+  milliseconds slowest{0};
+  for (std::int64_t base = 1; base <= 10; ++base) {
+    slowest = std::max(slowest, TimeUntilInForce(cluster, base));
+  }
+  CHECK(slowest < kInForceLimit);
+  cluster.ControlPlatform({{"mode", "slow"}, {"delay_ms", 600}});
+  const milliseconds with_slow_store = TimeUntilInForce(cluster, 11);
+  CHECK(with_slow_store < kInForceLimit);
+  CHECK(watch.Stop() == 0);
+  CHECK(watch.samples() > 0);
+  WARN("slowest of 10 changes " << slowest.count() << " ms, with 600 ms per store call "
+                                << with_slow_store.count() << " ms");
+}
+
+// Guards against a push that only seems to work because polling hides its faults.
+TEST_CASE("a push alone puts a version in force", "[config]") {
+  cluster_options options;
+  options.settings = {{"config_poll_ms", kNoPollMs}};
+  test_cluster cluster(options);
+  cluster.StartAll();
+  REQUIRE(WaitForMesh(cluster));
+  const test_response response = Apply(cluster.Instance(role::kAdmin, 2), 0, Document(1));
+  REQUIRE(response.status == 200);
+  const json answer = response.Json();
+  INFO(response.body);
+  CHECK(answer["unconfirmed"].empty());
+  CHECK(answer["confirmed"].size() == cluster.instances().size());
+  CHECK(answer["confirmed_after_ms"].get<std::int64_t>() < kInForceLimit.count());
+  CHECK(cluster.WaitForVersion(1, milliseconds(1000)));
+}
+
+// Cuts or restores the links of the cluster whose names match.
+void SetLinks(test_cluster& cluster, const std::string& links, const std::string& mode) {
+  cluster.ControlProxy({{"set", {{{"link", links}, {"direction", "both"}, {"mode", mode}}}}});
+}
+
+// Guards against an instance that depends on its peers, and against one that serves while cut off from all.
+TEST_CASE("polling replaces a cut peer link, and without both an instance is not ready", "[config]") {
+  cluster_options options;
+  options.vms = 2;
+  options.proxied = true;
+  // Every peer address goes through the proxy; peers are found in the table.
+  options.settings = {{"seeds", json::array()}};
+  test_cluster cluster(options);
+  cluster.StartAll();
+  server_instance& admin = cluster.Instance(role::kAdmin, 1);
+  REQUIRE(Apply(admin, 0, Document(1)).status == 200);
+  REQUIRE(cluster.WaitForVersion(1));
+  REQUIRE(WaitForMesh(cluster));
+  server_instance& gateway = cluster.Instance(role::kGateway, 2);
+  // The gateway neither hears its peers nor is heard by them.
+  SetLinks(cluster, "peers>*", "cut");
+  REQUIRE(Apply(admin, 1, Document(2)).status == 200);
+  CHECK(cluster.WaitForVersion(2, kInForceLimit));
+  SetLinks(cluster, "gateway-2>platform", "cut");
+  CHECK(WaitUntil([&] { return VersionOf(gateway) == 0; }, seconds(10)));
+  REQUIRE(Apply(admin, 2, Document(3)).status == 200);
+  CHECK(VersionOf(gateway) == 0);
+  SetLinks(cluster, "*", "pass");
+  CHECK(WaitUntil([&] { return VersionOf(gateway) == 3; }, seconds(10)));
+}
+
+// Guards against two operators who both believe that their change is in force.
+TEST_CASE("of two operators that race exactly one wins", "[config]") {
+  cluster_options options;
+  options.vms = 2;
+  options.roles = {role::kAdmin};
+  test_cluster cluster(options);
+  cluster.StartAll();
+  REQUIRE(WaitForMesh(cluster));
+  for (int base = 0; base < 20; ++base) {
+    std::vector<std::future<test_response>> answers;
+    for (int admin = 1; admin <= 2; ++admin) {
+      answers.push_back(std::async(std::launch::async, [&cluster, base, admin] {
+        return Apply(cluster.Instance(role::kAdmin, admin), base, Document(base * 10 + admin));
+      }));
+    }
+    const test_response first = answers[0].get();
+    const test_response second = answers[1].get();
+    INFO(first.body << second.body);
+    const bool first_won = first.status == 200;
+    const test_response& loser = first_won ? second : first;
+    REQUIRE(std::set<int>{first.status, second.status} == std::set<int>{200, 409});
+    CHECK(loser.Json()["error"]["kind"] == "version_conflict");
+    CHECK(loser.Json()["error"]["ran"] == "no");
+    const json shown = GetJson(cluster.Instance(role::kAdmin, 1), "/v1/config");
+    CHECK(shown["version"] == base + 1);
+    CHECK(shown["document"] == Document(base * 10 + (first_won ? 1 : 2)));
+  }
+  const json history = GetJson(cluster.Instance(role::kAdmin, 2), "/v1/config/history?limit=100")["versions"];
+  REQUIRE(history.size() == 20);
+  CHECK(history[0]["version"] == 20);
+  CHECK(history[0]["base"] == 19);
+  CHECK(history[0]["operator"] == "ann");
+}
+
+// Guards against an instance that wakes up with the old rules and keeps or brings them back.
+TEST_CASE("an instance paused over two changes takes up the newest", "[config]") {
+  test_cluster cluster;
+  cluster.StartAll();
+  server_instance& admin = cluster.Instance(role::kAdmin, 1);
+  REQUIRE(Apply(admin, 0, Document(1)).status == 200);
+  REQUIRE(cluster.WaitForVersion(1));
+  REQUIRE(WaitForMesh(cluster));
+  server_instance& paused = cluster.Instance(role::kGateway, 2);
+  revert_watch watch(cluster);
+  paused.program->Signal(SIGSTOP);
+  const json first = Apply(admin, 1, Document(2)).Json();
+  CHECK(first["unconfirmed"] == json::array({paused.name}));
+  REQUIRE(Apply(admin, 2, Document(3)).status == 200);
+  paused.program->Signal(SIGCONT);
+  const clock::time_point resumed = clock::now();
+  CHECK(WaitUntil([&] { return VersionOf(paused) == 3; }, kInForceLimit));
+  const auto elapsed = std::chrono::duration_cast<milliseconds>(clock::now() - resumed);
+  CHECK(watch.Stop() == 0);
+  CHECK(VersionOf(paused) == 3);
+  WARN("newest version in force " << elapsed.count() << " ms after the pause");
+}
+
+// Guards against instances that serve without rules after a restart, and against losing the accepted version.
+TEST_CASE("all instances restarted during a store outage wait for the store", "[config]") {
+  cluster_options options;
+  options.vms = 2;
+  options.settings = {{"drain_notice_ms", 10}};
+  test_cluster cluster(options);
+  cluster.StartAll();
+  REQUIRE(Apply(cluster.Instance(role::kAdmin, 1), 0, Document(1)).status == 200);
+  REQUIRE(cluster.WaitForVersion(1));
+  cluster.ControlPlatform({{"mode", "down"}, {"answer", "refuse"}});
+  for (auto& instance : cluster.instances()) instance->program->Kill();
+  cluster.StartAll();
+  // Longer than the contact limit and several heartbeats.
+  std::this_thread::sleep_for(seconds(4));
+  for (auto& instance : cluster.instances()) {
+    INFO(instance->name);
+    CHECK(SendOnce(instance->http_port, {"GET", "/live", {}, ""}).status == 200);
+    const test_response ready = SendOnce(instance->http_port, {"GET", "/ready", {}, ""});
+    CHECK(ready.status == 503);
+    CHECK(ready.Json()["error"]["kind"] == "not_ready");
+  }
+  const test_response shown =
+      SendOnce(cluster.Instance(role::kAdmin, 1).http_port, OperatorRequest("GET", "/v1/config"));
+  CHECK(shown.status == 503);
+  const test_response applied = Apply(cluster.Instance(role::kAdmin, 1), 1, Document(2));
+  CHECK(applied.Json()["error"]["kind"] == "store_unavailable");
+  CHECK(applied.Json()["error"]["ran"] == "no");
+  cluster.ControlPlatform({{"mode", "up"}});
+  CHECK(cluster.WaitForVersion(1));
+}
+
+// Guards against one instance that starts without the store and stays without rules, or serves before it has
+// any.
+TEST_CASE("an instance started during a store outage takes the version of its peers", "[config]") {
+  cluster_options options;
+  options.vms = 2;
+  test_cluster cluster(options);
+  server_instance& late = cluster.Instance(role::kGateway, 2);
+  // Nobody contacts the late instance by itself, so that without seeds it finds no peer.
+  const json late_address = StrCat("127.0.0.1:", late.peer_port);
+  for (auto& instance : cluster.instances()) {
+    json& others = instance->settings["seeds"];
+    others.erase(std::remove(others.begin(), others.end(), late_address), others.end());
+    if (instance.get() != &late) cluster.Start(*instance);
+  }
+  server_instance& admin = cluster.Instance(role::kAdmin, 1);
+  for (int base = 0; base < 3; ++base) REQUIRE(Apply(admin, base, Document(base + 1)).status == 200);
+  REQUIRE(cluster.WaitForVersion(3));
+  cluster.ControlPlatform({{"mode", "down"}, {"answer", "refuse"}});
+  const json seeds = late.settings["seeds"];
+  late.settings["seeds"] = json::array();
+  cluster.Start(late);
+  std::this_thread::sleep_for(seconds(4));
+  CHECK(VersionOf(late) == 0);
+  late.program->Kill();
+  late.settings["seeds"] = seeds;
+  cluster.Start(late);
+  CHECK(WaitUntil([&] { return VersionOf(late) == 3; }, kInForceLimit));
+}
+
+// Guards against telling an operator that a change failed that is in force, and against making it twice.
+TEST_CASE("a lost reply to an operator's write is settled", "[config]") {
+  cluster_options options;
+  options.vms = 1;
+  options.roles = {role::kAdmin};
+  options.proxied = true;
+  test_cluster cluster(options);
+  cluster.StartAll();
+  server_instance& admin = cluster.Instance(role::kAdmin, 1);
+  // The store's reply to the admin instance is lost.
+  cluster.ControlPlatform({{"mode", "lose_replies"}, {"count", 1}, {"prefix", "config/"}});
+  const test_response response = Apply(admin, 0, Document(1));
+  INFO(response.body);
+  CHECK(response.status == 200);
+  CHECK(response.Json()["version"] == 1);
+  // The admin instance's reply to the operator is lost.
+  const int port = cluster.AddLink("operator>admin", admin.http_port);
+  cluster.ControlProxy(
+      {{"set",
+        {{{"link", "operator>admin"}, {"direction", "to_client"}, {"mode", "drop_replies"}, {"count", 1}}}}});
+  const auto file = cluster.folder() / "change.json";
+  { std::ofstream(file) << Document(2); }
+  process client("hickorystall",
+                 {"--endpoint", StrCat("127.0.0.1:", port), "--token", kOperatorToken, "--timeout-ms", "2000",
+                  "apply", file.string(), "--base", "1"},
+                 cluster.folder() / "client.log");
+  CHECK(client.Wait(seconds(20)) == 0);
+  INFO(client.Log());
+  const json history = GetJson(admin, "/v1/config/history")["versions"];
+  REQUIRE(history.size() == 2);
+  CHECK(history[0]["version"] == 2);
+}
+
+}  // namespace
+}  // namespace hickorystall::harness
