--- a/src/coordination/job_submission.cpp
+++ b/src/coordination/job_submission.cpp
@@ -76,8 +76,8 @@
 }  // namespace
 
 job_submission::job_submission(protocol::table_client& table, transport::worker_pool& loops,
-                               std::string pool_name)
-    : table_(table), loops_(loops), pool_name_(std::move(pool_name)) {}
+                               std::string pool_name, std::function<void(const std::string& pool)> send_hint)
+    : table_(table), loops_(loops), pool_name_(std::move(pool_name)), send_hint_(std::move(send_hint)) {}
 
 asio::awaitable<job_result> job_submission::Submit(config_ptr config, std::string workspace, std::string body,
                                                    std::string idempotency_key) {
@@ -133,7 +133,10 @@
     marker_key = claim_key;
   }
   const absl::Status status = co_await TransactOnce(table_, std::move(transaction), marker_key, token);
-  if (status.ok()) co_return Document(202, accepted);
+  if (status.ok()) {
+    send_hint_(pool_name_);
+    co_return Document(202, accepted);
+  }
   if (!absl::IsAborted(status)) co_return RefuseWrite(status);
   if (!claim_key.empty()) co_return co_await AnswerExisting(std::move(claim_key), std::move(digest));
   // Nobody else uses this id, so the conflict is with this writer's own transaction, whose reply was lost.
@@ -321,6 +324,7 @@
     const std::string marker_key = transaction.puts.front().key;
     const absl::Status status = co_await TransactOnce(table_, std::move(transaction), marker_key, token);
     if (!status.ok()) co_return status;
+    send_hint_(pool_name_);
   }
   co_return absl::OkStatus();
 }
--- a/src/coordination/job_submission.h
+++ b/src/coordination/job_submission.h
@@ -43,8 +43,10 @@
   /// Longest time for which Get waits.
   static constexpr std::chrono::milliseconds kMaxWait{60000};
 
-  /// `pool_name` is the pool that jobs are submitted to. The references must outlive the object.
-  job_submission(protocol::table_client& table, transport::worker_pool& loops, std::string pool_name);
+  /// `pool_name` is the pool that jobs are submitted to. `send_hint` tells the schedulers about a new row of
+  /// the pool's inbox. The references must outlive the object.
+  job_submission(protocol::table_client& table, transport::worker_pool& loops, std::string pool_name,
+                 std::function<void(const std::string& pool)> send_hint);
 
   /// Stores a job. With an idempotency key the job is stored once, however often the call is repeated.
   boost::asio::awaitable<job_result> Submit(config_ptr config, std::string workspace, std::string body,
@@ -86,6 +88,7 @@
   protocol::table_client& table_;
   transport::worker_pool& loops_;
   const std::string pool_name_;
+  const std::function<void(const std::string& pool)> send_hint_;
   std::atomic<bool> stopping_{false};
   // Guards the members below.
   mutable state::ranked_mutex mutex_{state::lock_rank::kJobTable};
--- a/src/programs/gateway/main.cpp
+++ b/src/programs/gateway/main.cpp
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <random>
 
 #include "coordination/claim_store.h"
 #include "coordination/job_submission.h"
+#include "coordination/peer_mesh.h"
 #include "coordination/request_router.h"
 #include "coordination/vm_list_watcher.h"
 #include "programs/common/server_program.h"
@@ -17,13 +19,16 @@
 
 constexpr milliseconds kShortest{1};
 constexpr milliseconds kLongest = std::chrono::hours(1);
+// Interval at which the number of live gateways is taken over.
+constexpr milliseconds kGatewayCountInterval{1000};
 // Time for which a stop waits for outcomes to reach the table.
 constexpr milliseconds kFinishWrites{2000};
 
 struct gateway_settings {
   server_settings server;
-  // Live gateways among which slots, connections and request rates are shared.
-  int gateway_count = 8;
+  // Gateways among which slots, connections and request rates are shared; 0 for the live ones of the peer
+  // mesh.
+  int gateway_count = 0;
   coordination::request_router_settings router;
   // Interval at which the platform's VM list is read.
   milliseconds vm_list_interval{1000};
@@ -37,7 +42,7 @@
   hickorystall::state::object_reader reader(document, document.value, "", errors);
   gateway_settings settings;
   settings.server = hickorystall::programs::common::ReadServerSettings(reader, document, errors);
-  reader.Read("gateway_count", settings.gateway_count, 1, 1000);
+  reader.Read("gateway_count", settings.gateway_count, 0, 1000);
   reader.Read("settle_limit_ms", settings.router.settle_limit, kShortest, kLongest);
   reader.Read("query_timeout_ms", settings.router.query_timeout, kShortest, kLongest);
   reader.Read("vm_list_interval_ms", settings.vm_list_interval, kShortest, kLongest);
@@ -45,14 +50,25 @@
   return settings;
 }
 
+// Shares the targets among the gateways that the peer mesh reports as live.
+boost::asio::awaitable<void> FollowGatewayCount(coordination::peer_mesh& mesh,
+                                                coordination::request_router_slots& slots,
+                                                std::function<bool()> stop) {
+  while (!stop()) {
+    slots.SetGatewayCount(std::max(1, static_cast<int>(mesh.LivePeers("gateway").size())));
+    co_await hickorystall::transport::Sleep(kGatewayCountInterval);
+  }
+}
+
 int RunProgram(gateway_settings settings) {
   server_program program("gateway", settings.server);
   hickorystall::protocol::executor_client executors(program.http());
-  coordination::request_router_slots slots(settings.gateway_count, std::random_device{}());
+  coordination::request_router_slots slots(std::max(1, settings.gateway_count), std::random_device{}());
   coordination::claim_store claims(program.platform(), program.pool());
   hickorystall::state::request_metrics metrics;
   coordination::request_router router(executors, slots, claims, metrics, program.pool(), settings.router);
-  coordination::job_submission jobs(program.platform(), program.pool(), settings.server.region);
+  coordination::job_submission jobs(program.platform(), program.pool(), settings.server.region,
+                                    [&](const std::string& pool) { program.mesh().SendJobHint(pool); });
   coordination::vm_list_watcher watcher(program.platform(), executors, slots, settings.vm_list_interval);
   hickorystall::programs::gateway::gateway_api api(program.config(), router, jobs, metrics);
 
@@ -67,6 +83,9 @@
   program.AddTask([&, stopping] { return slots.Run(stopping); });
   program.AddTask([&, stopping] { return watcher.WatchList(stopping); });
   program.AddTask([&, stopping] { return watcher.WatchSaidLeaving(stopping); });
+  if (settings.gateway_count == 0) {
+    program.AddTask([&, stopping] { return FollowGatewayCount(program.mesh(), slots, stopping); });
+  }
   // Waits for jobs end at once, so that they do not hold up a stop.
   program.AddTask([&, stopping]() -> boost::asio::awaitable<void> {
     while (!stopping()) co_await hickorystall::transport::Sleep(milliseconds(100));
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -53,9 +53,8 @@
     }
     cluster_.StartProgram("standin-executor", arguments, "executors");
     REQUIRE(WaitForPort(control_port_, seconds(20)));
-    Apply(MakeConfig());
     cluster_.StartAll();
-    REQUIRE(cluster_.WaitForVersion(1));
+    REQUIRE(cluster_.WaitForVersion(Apply(MakeConfig())));
     REQUIRE(cluster_.WaitReady());
   }
 
@@ -111,6 +110,7 @@
             body};
   }
 
+  int gateways() { return static_cast<int>(cluster_.instances().size()) / 2; }
   server_instance& Gateway(int vm) { return cluster_.Instance(role::kGateway, vm); }
   int port(int vm = 1) { return Gateway(vm).http_port; }
   test_cluster& cluster() { return cluster_; }
@@ -136,9 +136,10 @@
   static cluster_options MakeOptions(int gateways, const json& settings) {
     cluster_options options;
     options.vms = gateways;
-    options.roles = {role::kGateway};
-    options.settings = {{"gateway_count", gateways}, {"drain_notice_ms", 100}, {"settle_limit_ms", 1000}};
-    options.settings.merge_patch(settings);
+    options.roles = {role::kGateway, role::kAdmin};
+    json own = {{"drain_notice_ms", 100}, {"settle_limit_ms", 1000}};
+    own.merge_patch(settings);
+    options.role_settings[role::kGateway] = own;
     return options;
   }
 
@@ -198,7 +199,7 @@
 // Sends `count` requests of `kind` with unique bodies from several threads, over the gateways in turn.
 void SendMany(gateway_cluster& cluster, const std::string& kind, const std::string& prefix, int count,
               int threads, answer_checker& checker, milliseconds pause = milliseconds(0)) {
-  const int gateways = static_cast<int>(cluster.cluster().instances().size());
+  const int gateways = cluster.gateways();
   std::vector<std::thread> senders;
   for (int t = 0; t < threads; ++t) {
     senders.emplace_back([&, t] {
