--- a/src/coordination/config_store.cpp
+++ b/src/coordination/config_store.cpp
@@ -68,14 +68,14 @@
   config_entry entry;
   try {
     entry.version = document.at("version");
-    entry.base = document.at("base");
-    entry.operator_name = document.at("operator");
-    entry.instance = document.at("instance");
-    entry.accepted_at_ms = document.at("accepted_at_ms");
-    entry.operation = document.at("operation");
-    entry.writer = document.at("writer");
-    entry.digest = document.at("digest");
-    entry.bytes = document.at("bytes");
+    entry.base = document.value("base", std::int64_t{0});
+    entry.operator_name = document.value("operator", "");
+    entry.instance = document.value("instance", "");
+    entry.accepted_at_ms = document.value("accepted_at_ms", std::int64_t{0});
+    entry.operation = document.value("operation", "");
+    entry.writer = document.value("writer", "");
+    entry.digest = document.value("digest", "");
+    entry.bytes = document.value("bytes", std::int64_t{0});
     entry.body = document.value("body", "");
     entry.object = document.value("object", "");
   } catch (const json::exception& error) {
@@ -103,7 +103,7 @@
     if (!object.ok()) co_return object.status();
     body = std::move(*object);
   }
-  if (protocol::Sha256Hex(body) != entry->digest) {
+  if (!entry->digest.empty() && protocol::Sha256Hex(body) != entry->digest) {
     co_return absl::DataLossError(state::StrCat("the document of version ", version, " has a wrong digest"));
   }
   co_return body;
--- a/src/programs/admin/main.cpp
+++ b/src/programs/admin/main.cpp
@@ -1,3 +1,4 @@
+#include "programs/admin/admin_service.h"
 #include "programs/common/server_program.h"
 
 namespace {
@@ -18,6 +19,10 @@
 
 int RunProgram(server_settings settings) {
   server_program program("admin", std::move(settings));
+  hickorystall::programs::admin::admin_service service(program);
+  program.SetHandler([&service](hickorystall::transport::http_request request) {
+    return service.Handle(std::move(request));
+  });
   return program.Run();
 }
 
--- a/src/protocol/table_client.cpp
+++ b/src/protocol/table_client.cpp
@@ -115,7 +115,9 @@
   co_return exchange;
 }
 
-// Returns the response, kUnavailable when the request had no effect, or kUnknown when it may have had one.
+// GCC 12 destroys an aggregate that is a temporary in the operand of co_await twice, so each request is a
+// named variable. Returns the response, kUnavailable when the request had no effect, or kUnknown when it may
+// have had one.
 asio::awaitable<absl::StatusOr<transport::http_response>> platform_client::Call(
     transport::http_request request, bool repeatable) {
   const clock::time_point deadline = clock::now() + settings_.call_timeout;
--- a/src/state/config/config_parser.cpp
+++ b/src/state/config/config_parser.cpp
@@ -157,7 +157,7 @@
 
 void ReadInventory(const parse_context& context, const json& value, cluster_config& config) {
   object_reader reader(context.document, value, "inventory", context.errors);
-  for (const char* key : {"failure_domains", "racks", "vms", "workspaces"}) reader.Require(key);
+  // An absent list is an empty one; a misspelt key is reported as unknown.
   reader.Read("failure_domains", config.failure_domains);
   config.racks = ReadObjects(context, reader, "racks", ReadRack);
   config.vms = ReadObjects(context, reader, "vms", ReadVm);
@@ -174,7 +174,6 @@
 
 void ReadRules(const parse_context& context, const json& value, cluster_config& config) {
   object_reader reader(context.document, value, "rules", context.errors);
-  reader.Require("kinds");
   config.kinds = ReadObjects(context, reader, "kinds", ReadKind);
   if (const json* limits = reader.Member("limits"); limits != nullptr) {
     ReadLimits(context, *limits, config.limits);
@@ -201,9 +200,9 @@
   if (document.value.is_discarded()) return result;
   ReadDocument({document, result.errors}, result.config);
   // A guarantee can only be judged on an inventory that was read completely.
-  const bool complete = result.errors.empty();
   ValidateReferences(result.config, document, result.errors);
-  if (complete && result.errors.empty()) ValidateCapacity(result.config, document, result.errors);
+  result.complete = result.errors.empty();
+  if (result.complete) ValidateCapacity(result.config, document, result.errors);
   std::stable_sort(
       result.errors.begin(), result.errors.end(),
       [](const document_error& left, const document_error& right) { return left.line < right.line; });
