--- a/src/coordination/claim_store.cpp
+++ b/src/coordination/claim_store.cpp
@@ -87,12 +87,15 @@
   co_return record;
 }
 
+std::optional<claim_record> claim_store::PendingOutcome(const std::string& key) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = pending_.find(key);
+  const bool known = found != pending_.end() && found->second->state == claim_state::kDone;
+  return known ? std::optional<claim_record>(*found->second) : std::nullopt;
+}
+
 asio::awaitable<absl::StatusOr<claim_record>> claim_store::Read(std::string key) {
-  {
-    const std::lock_guard lock(mutex_);
-    const auto found = pending_.find(key);
-    if (found != pending_.end() && found->second->state == claim_state::kDone) co_return *found->second;
-  }
+  if (std::optional<claim_record> pending = PendingOutcome(key)) co_return *std::move(pending);
   absl::StatusOr<claim_record> record = co_await ReadRow(std::move(key));
   if (!record.ok() || record->object.empty()) co_return record;
   absl::StatusOr<std::string> body = co_await platform_.GetObject(record->object);
--- a/src/coordination/claim_store.h
+++ b/src/coordination/claim_store.h
@@ -77,6 +77,9 @@
   /// Reads the claim of `key`, from this gateway's memory while a write is pending, else from the table with
   /// its body. kUnavailable when the table cannot be read.
   boost::asio::awaitable<absl::StatusOr<claim_record>> Read(std::string key);
+  /// The outcome of `key` that this gateway has not stored yet, so that duplicates are answered while the
+  /// store is down.
+  std::optional<claim_record> PendingOutcome(const std::string& key) const;
   /// Writes `record` over the row with `record.version` and returns the new version. kAborted when another
   /// writer was faster, kUnavailable when the row was certainly not written, kUnknown when it may have been.
   boost::asio::awaitable<absl::StatusOr<std::int64_t>> Write(std::string key, claim_record record);
--- a/src/coordination/request_router.cpp
+++ b/src/coordination/request_router.cpp
@@ -173,6 +173,9 @@
   claimed.claim.digest =
       protocol::Sha256Hex(state::StrCat("request/", request.kind.name, "\n", request.body));
   claimed.claim.settle_limit = request.kind.timeout + settings_.settle_limit;
+  if (claims_.PendingOutcome(claimed.key).has_value()) {
+    co_return co_await AnswerExisting(claimed.key, claimed.claim.digest, claimed.outcome_url);
+  }
   slots_.RecordFirstAttempt(request.workspace);
   for (int attempt = 1;; ++attempt) {
     const milliseconds wait = std::min(Left(deadline), request.kind.max_queue);
@@ -221,7 +224,10 @@
       co_return co_await AnswerExisting(claimed.key, claim.digest, claimed.outcome_url);
     }
     if (absl::IsUnknown(version.status()) || claimed.wrote_claim) claims_.Release(claimed.key, claim);
-    co_return Refuse(error_kind::kStoreUnavailable, "the claim of the idempotency key could not be stored");
+    // An earlier request with this key may have run: its outcome is told under the address.
+    co_return Refuse(error_kind::kStoreUnavailable,
+                     "the claim of the idempotency key could not be stored, so this call was not run",
+                     claimed.outcome_url);
   }
   claim.version = *version;
   claimed.wrote_claim = true;
