--- a/benchmarks/routing/main.cpp
+++ b/benchmarks/routing/main.cpp
@@ -6,9 +6,12 @@
 #include <cstdlib>
 #include <deque>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "state/routing/target_table.h"
