Follow the linter in the gateway tests

Change: the checks compare the same sets with empty() and print their content; the thread list reserves its size. What is checked is unchanged.

--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -185,12 +185,14 @@
   // Each answer was whole and to the caller's own request, and what was refused as not run did not run.
   void Check(const std::map<std::string, int>& runs) const {
     INFO(json(kinds_).dump());
-    CHECK(foreign_ == std::vector<std::string>{});
+    INFO("answers of others: " << json(foreign_).dump());
+    CHECK(foreign_.empty());
     std::vector<std::string> untrue;
     for (const std::string& body : not_run_) {
       if (runs.contains(body)) untrue.push_back(body);
     }
-    CHECK(untrue == std::vector<std::string>{});
+    INFO("ran although refused as not run: " << json(untrue).dump());
+    CHECK(untrue.empty());
     // Guards against an empty log, which would agree with everything.
     CHECK(static_cast<int>(runs.size()) >= static_cast<int>(answered_bodies_.size()));
   }
@@ -215,6 +217,7 @@
               int threads, answer_checker& checker, milliseconds pause = milliseconds(0)) {
   const int gateways = cluster.gateways();
   std::vector<std::thread> senders;
+  senders.reserve(static_cast<std::size_t>(threads));
   for (int t = 0; t < threads; ++t) {
     senders.emplace_back([&, t] {
       test_connection connection(cluster.port(1 + t % gateways));
