--- a/src/state/scheduling/capacity_view.cpp
+++ b/src/state/scheduling/capacity_view.cpp
@@ -76,6 +76,17 @@
   });
 }
 
+void capacity_view::IntersectWith(const capacity_view& other) {
+  for (std::size_t i = 0; i < workers_.size(); ++i) {
+    worker_capacity& mine = workers_[i];
+    const worker_capacity& theirs = other.workers_[i];
+    mine.accelerators &= theirs.accelerators;
+    mine.processors = std::min(mine.processors, theirs.processors);
+    mine.memory_mib = std::min(mine.memory_mib, theirs.memory_mib);
+    mine.tasks = std::min(mine.tasks, theirs.tasks);
+  }
+}
+
 void capacity_view::KeepOnly(const assignment& places) {
   std::vector<std::uint64_t> kept(workers_.size());
   std::vector<int> tasks(workers_.size());
--- a/src/state/scheduling/capacity_view.h
+++ b/src/state/scheduling/capacity_view.h
@@ -59,6 +59,8 @@
   int MembersThatFit(int worker, const job_spec& spec, int limit) const;
   /// True when a job with sizes `spec` can be placed at exactly `places`.
   bool Allows(const assignment& places, const job_spec& spec) const;
+  /// Leaves free only what is also free in `other`, a view of the same topology.
+  void IntersectWith(const capacity_view& other);
   /// Leaves only `places` free.
   void KeepOnly(const assignment& places);
   /// What is free on `worker`.
--- a/src/state/scheduling/cluster_state.cpp
+++ b/src/state/scheduling/cluster_state.cpp
@@ -22,15 +22,19 @@
       topology_(*snapshot.config),
       used_(snapshot.config->workspaces.size()),
       ledger_(*snapshot.config, topology_),
+      usable_(topology_),
       free_(topology_),
       soon_(topology_),
-      firm_(topology_) {
+      firm_(topology_),
+      outside_(topology_) {
   for (std::size_t i = 0; i < snapshot.config->workspaces.size(); ++i) {
     workspaces_.emplace(snapshot.config->workspaces[i].name, static_cast<int>(i));
   }
-  LimitWorkers(free_);
+  LimitWorkers(usable_);
+  free_ = usable_;
   soon_ = free_;
   firm_ = free_;
+  outside_ = free_;
   AddAllocations();
 }
 
@@ -79,12 +83,16 @@
     if (entry->leaving) continue;
     soon_.Take(entry->places, spec);
     entry->lost_by_reclaim = WorkLostByReclaim(*entry->job, now_);
-    entry->reclaimable = policy_.guarantees && spec.may_wait &&
-                         !(entry->workspace >= 0 && all_within[entry->workspace]) &&
-                         !ledger_.Covers(entry->workspace, spec);
+    const bool within =
+        (entry->workspace >= 0 && all_within[entry->workspace]) || ledger_.Covers(entry->workspace, spec);
+    entry->reclaimable = policy_.guarantees && spec.may_wait && !within;
     if (entry->reclaimable) continue;
-    ledger_.Consume(entry->workspace, spec);
     firm_.Take(entry->places, spec);
+    if (within) {
+      ledger_.Consume(entry->workspace, spec);
+    } else {
+      outside_.Take(entry->places, spec);
+    }
   }
 }
 
@@ -118,14 +126,16 @@
   return limit == 0 || used_[entry.workspace] + AcceleratorsOf(entry.job->spec) <= limit;
 }
 
-int cluster_state::Take(const queued_job& entry, const assignment& places, bool reclaimable) {
+bool cluster_state::Take(const queued_job& entry, const assignment& places, bool reclaimable) {
   const job_spec& spec = entry.job->spec;
   free_.Take(places, spec);
   soon_.Take(places, spec);
   used_[entry.workspace] += AcceleratorsOf(spec);
-  if (reclaimable) return 0;
+  if (reclaimable) return false;
   firm_.Take(places, spec);
-  return ledger_.Consume(entry.workspace, spec);
+  if (ledger_.Covers(entry.workspace, spec)) return ledger_.Consume(entry.workspace, spec) > 0;
+  outside_.Take(places, spec);
+  return false;
 }
 
 void cluster_state::Reclaim(int index) {
--- a/src/state/scheduling/cluster_state.h
+++ b/src/state/scheduling/cluster_state.h
@@ -40,9 +40,9 @@
   std::vector<queued_job> MakeQueue() const;
   /// True when the workspace of `entry` may use that many accelerators more.
   bool IsWithinQuota(const queued_job& entry) const;
-  /// Takes `places` for `entry`, which starts now or once the capacity is free. A job that is not reclaimable
-  /// uses the guarantee of its workspace as far as it lies within it; returns how many members do.
-  int Take(const queued_job& entry, const assignment& places, bool reclaimable);
+  /// Takes `places` for `entry`, which starts now or once the capacity is free. A job that lies within
+  /// the guarantee of its workspace uses it; returns whether it does.
+  bool Take(const queued_job& entry, const assignment& places, bool reclaimable);
   /// Records that the allocation at `index` is being reclaimed.
   void Reclaim(int index);
 
@@ -50,12 +50,16 @@
   const worker_topology& topology() const { return topology_; }
   /// Jobs that hold workers.
   const std::vector<allocation>& allocations() const { return allocations_; }
+  /// The empty cluster without the workers that must not get work.
+  const capacity_view& usable() const { return usable_; }
   /// Capacity that no job holds.
   const capacity_view& free() const { return free_; }
   /// Capacity that is free once the leaving jobs have gone.
   const capacity_view& soon() const { return soon_; }
   /// Capacity that is free once all work that can be reclaimed has gone.
   const capacity_view& firm() const { return firm_; }
+  /// Capacity without the firm work outside of the guarantees only.
+  const capacity_view& outside() const { return outside_; }
   /// Use of the guarantees.
   const guarantee_ledger& ledger() const { return ledger_; }
 
@@ -85,12 +89,16 @@
   std::vector<int> used_;
   /// Use of the guarantees.
   guarantee_ledger ledger_;
+  /// See usable().
+  capacity_view usable_;
   /// See free().
   capacity_view free_;
   /// See soon().
   capacity_view soon_;
   /// See firm().
   capacity_view firm_;
+  /// See outside().
+  capacity_view outside_;
   /// Jobs that hold workers.
   std::vector<allocation> allocations_;
 };
--- a/src/state/scheduling/decision_pass.cpp
+++ b/src/state/scheduling/decision_pass.cpp
@@ -40,7 +40,9 @@
       now_(now),
       state_(policy, snapshot, now),
       feasibility_(*snapshot.config, state_.topology()) {
-  if (policy_.guarantees) plan_ = PlanGuarantees(state_.ledger(), state_.firm());
+  if (!policy_.guarantees) return;
+  plan_ = PlanGuarantees(state_.ledger(), state_.firm());
+  homes_ = PlanGuarantees(guarantee_ledger(*snapshot.config, state_.topology()), state_.usable());
 }
 
 scheduling_decision decision_pass::Run() {
@@ -111,10 +113,14 @@
                                              std::optional<capacity_view>& copy) const {
   const auto is_in_the_way = [&](const reservation& other) { return now_ + entry.remaining > other.start; };
   const bool reserved = std::any_of(reservations_.begin(), reservations_.end(), is_in_the_way);
-  const bool planned = !IsReclaimable(entry) && !plan_.shapes.empty();
+  const bool planned = !IsReclaimable(entry) && !homes_.shapes.empty();
   if (!reserved && !planned) return view;
   copy = view;
-  if (planned) plan_.TakeFrom(*copy, entry.guaranteed ? entry.workspace : -1);
+  if (planned) {
+    capacity_view beside = state_.outside();
+    homes_.TakeFrom(beside, entry.guaranteed ? entry.workspace : -1);
+    copy->IntersectWith(beside);
+  }
   for (const reservation& other : reservations_) {
     if (is_in_the_way(other)) copy->Take(other.places, other.spec);
   }
@@ -134,7 +140,8 @@
   const job_spec& spec = entry.job->spec;
   std::optional<capacity_view> copy;
   std::optional<assignment> places = FindPlacement(Restrict(view, entry, copy), spec, *policy_.placement);
-  if (!entry.guaranteed || (places && KeepsGuarantees(entry, *places))) return places;
+  if (places && (IsReclaimable(entry) || KeepsGuarantees(entry, *places))) return places;
+  if (!entry.guaranteed) return std::nullopt;
   // A place within the workspace's own planned places, best that of the shape itself, leaves the rest as it
   // is.
   copy = view;
@@ -167,7 +174,8 @@
   std::optional<capacity_view> copy;
   capacity_view target = Restrict(state_.firm(), entry, copy);
   std::optional<reclaim_choice> choice = ChooseReclaim(state_, MakeReclaimRequest(entry, target));
-  if (!entry.guaranteed || (choice && KeepsGuarantees(entry, choice->places))) return choice;
+  if (choice && (IsReclaimable(entry) || KeepsGuarantees(entry, choice->places))) return choice;
+  if (!entry.guaranteed) return std::nullopt;
   std::vector<assignment> within{plan_.PlacesOf(entry.workspace)};
   if (const assignment* exact = plan_.PlaceOf(entry.workspace, entry.job->spec)) within.push_back(*exact);
   for (const assignment& places : within) {
@@ -212,17 +220,17 @@
 }
 
 bool decision_pass::KeepsGuarantees(const queued_job& entry, const assignment& places) const {
-  if (!plan_.Touches(places)) return true;
+  if (!policy_.guarantees || !plan_.Touches(places)) return true;
   guarantee_ledger ledger = state_.ledger();
   capacity_view firm = state_.firm();
-  ledger.Consume(entry.workspace, entry.job->spec);
+  if (entry.guaranteed) ledger.Consume(entry.workspace, entry.job->spec);
   firm.Take(places, entry.job->spec);
   return PlanGuarantees(ledger, firm).missing <= plan_.missing;
 }
 
 void decision_pass::Take(const queued_job& entry, const assignment& places) {
   const bool reclaimable = IsReclaimable(entry);
-  const bool in_guarantee = state_.Take(entry, places, reclaimable) > 0;
+  const bool in_guarantee = state_.Take(entry, places, reclaimable);
   if (!policy_.guarantees || reclaimable) return;
   if (in_guarantee || plan_.Touches(places)) plan_ = PlanGuarantees(state_.ledger(), state_.firm());
 }
--- a/src/state/scheduling/feasibility_check.cpp
+++ b/src/state/scheduling/feasibility_check.cpp
@@ -48,13 +48,7 @@
     beside_guarantees_ = empty_;
     PlanGuarantees(*ledger_, empty_).TakeFrom(*beside_guarantees_);
   }
-  if (FindPlacement(*beside_guarantees_, spec, kFirstFit)) return true;
-  // The job uses the guarantee of its own workspace as far as it goes.
-  guarantee_ledger ledger = *ledger_;
-  if (ledger.Consume(workspace, spec) == 0) return false;
-  capacity_view view = empty_;
-  PlanGuarantees(ledger, empty_).TakeFrom(view);
-  return FindPlacement(view, spec, kFirstFit).has_value();
+  return FindPlacement(*beside_guarantees_, spec, kFirstFit).has_value();
 }
 
 std::string ExplainImpossible(const cluster_config& config, const workspace_config& workspace,
