--- a/src/state/scheduling/cluster_state.cpp
+++ b/src/state/scheduling/cluster_state.cpp
@@ -22,15 +22,20 @@
       topology_(*snapshot.config),
       used_(snapshot.config->workspaces.size()),
       ledger_(*snapshot.config, topology_),
+      usable_(topology_),
       free_(topology_),
       soon_(topology_),
-      firm_(topology_) {
+      firm_(topology_),
+      outside_(topology_) {
   for (std::size_t i = 0; i < snapshot.config->workspaces.size(); ++i) {
     workspaces_.emplace(snapshot.config->workspaces[i].name, static_cast<int>(i));
   }
-  LimitWorkers(free_);
+  LimitWorkers(usable_);
+  free_ = usable_;
   soon_ = free_;
   firm_ = free_;
+  outside_ = free_;
+  if (policy.guarantees) homes_ = PlanGuarantees(ledger_, usable_);
   AddAllocations();
 }
 
@@ -66,6 +71,15 @@
   for (allocation& entry : allocations_) oldest_first.push_back(&entry);
   std::stable_sort(oldest_first.begin(), oldest_first.end(),
                    [](const auto* a, const auto* b) { return a->job->started_at < b->job->started_at; });
+  std::vector<std::vector<const allocation*>> by_workspace(used_.size());
+  for (const allocation* entry : oldest_first) {
+    if (entry->workspace < 0 || entry->leaving || homes_.IsOnOthers(entry->places, entry->workspace))
+      continue;
+    by_workspace[entry->workspace].push_back(entry);
+  }
+  std::vector<bool> all_within;
+  all_within.reserve(by_workspace.size());
+  for (auto& jobs : by_workspace) all_within.push_back(policy_.guarantees && AllWithin(std::move(jobs)));
   for (allocation* entry : oldest_first) {
     const job_spec& spec = entry->job->spec;
     if (entry->workspace >= 0) used_[entry->workspace] += AcceleratorsOf(spec);
@@ -73,13 +87,33 @@
     if (entry->leaving) continue;
     soon_.Take(entry->places, spec);
     entry->lost_by_reclaim = WorkLostByReclaim(*entry->job, now_);
-    entry->reclaimable = policy_.guarantees && spec.may_wait && !ledger_.Covers(entry->workspace, spec);
+    const bool within =
+        !homes_.IsOnOthers(entry->places, entry->workspace) &&
+        ((entry->workspace >= 0 && all_within[entry->workspace]) || ledger_.Covers(entry->workspace, spec));
+    entry->reclaimable = policy_.guarantees && spec.may_wait && !within;
     if (entry->reclaimable) continue;
-    ledger_.Consume(entry->workspace, spec);
     firm_.Take(entry->places, spec);
+    if (within) {
+      ledger_.Consume(entry->workspace, spec);
+    } else {
+      outside_.Take(entry->places, spec);
+    }
   }
 }
 
+bool cluster_state::AllWithin(std::vector<const allocation*> jobs) const {
+  if (jobs.empty()) return true;
+  // Largest first packs best; the order of age alone may find no room for work that fits in another order.
+  std::stable_sort(jobs.begin(), jobs.end(), [](const allocation* a, const allocation* b) {
+    return std::pair(b->job->spec.accelerators, b->job->spec.members) <
+           std::pair(a->job->spec.accelerators, a->job->spec.members);
+  });
+  guarantee_ledger ledger = ledger_.OfWorkspace(jobs.front()->workspace);
+  return std::all_of(jobs.begin(), jobs.end(), [&](const allocation* entry) {
+    return ledger.Consume(0, entry->job->spec) == entry->job->spec.members;
+  });
+}
+
 std::vector<queued_job> cluster_state::MakeQueue() const {
   std::vector<queued_job> queue;
   for (const auto& [id, job] : snapshot_.jobs) {
@@ -97,14 +131,16 @@
   return limit == 0 || used_[entry.workspace] + AcceleratorsOf(entry.job->spec) <= limit;
 }
 
-int cluster_state::Take(const queued_job& entry, const assignment& places, bool reclaimable) {
+bool cluster_state::Take(const queued_job& entry, const assignment& places, bool reclaimable) {
   const job_spec& spec = entry.job->spec;
   free_.Take(places, spec);
   soon_.Take(places, spec);
   used_[entry.workspace] += AcceleratorsOf(spec);
-  if (reclaimable) return 0;
+  if (reclaimable) return false;
   firm_.Take(places, spec);
-  return ledger_.Consume(entry.workspace, spec);
+  if (ledger_.Covers(entry.workspace, spec)) return ledger_.Consume(entry.workspace, spec) > 0;
+  outside_.Take(places, spec);
+  return false;
 }
 
 void cluster_state::Reclaim(int index) {
--- a/src/state/scheduling/cluster_state.h
+++ b/src/state/scheduling/cluster_state.h
@@ -4,7 +4,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "state/scheduling/guarantee_ledger.h"
+#include "state/scheduling/guarantee_plan.h"
 #include "state/scheduling/placement.h"
 #include "state/scheduling/queue_order.h"
 #include "state/scheduling/scheduling_policy.h"
@@ -19,7 +19,8 @@
   assignment places;
   /// Index of its workspace in the configuration, or -1.
   int workspace = -1;
-  /// True when it can be reclaimed: it may wait and lies outside of its workspace's guarantee.
+  /// True when it can be reclaimed: it may wait and lies outside of its workspace's guarantee, or was
+  /// borrowed where another workspace's guarantee has its place.
   bool reclaimable = false;
   /// True when it is being reclaimed or cancelled, so that its workers come free.
   bool leaving = false;
@@ -40,9 +41,9 @@
   std::vector<queued_job> MakeQueue() const;
   /// True when the workspace of `entry` may use that many accelerators more.
   bool IsWithinQuota(const queued_job& entry) const;
-  /// Takes `places` for `entry`, which starts now or once the capacity is free. A job that is not reclaimable
-  /// uses the guarantee of its workspace as far as it lies within it; returns how many members do.
-  int Take(const queued_job& entry, const assignment& places, bool reclaimable);
+  /// Takes `places` for `entry`, which starts now or once the capacity is free. A job that lies within
+  /// the guarantee of its workspace uses it; returns whether it does.
+  bool Take(const queued_job& entry, const assignment& places, bool reclaimable);
   /// Records that the allocation at `index` is being reclaimed.
   void Reclaim(int index);
 
@@ -50,20 +51,29 @@
   const worker_topology& topology() const { return topology_; }
   /// Jobs that hold workers.
   const std::vector<allocation>& allocations() const { return allocations_; }
+  /// The empty cluster without the workers that must not get work.
+  const capacity_view& usable() const { return usable_; }
   /// Capacity that no job holds.
   const capacity_view& free() const { return free_; }
   /// Capacity that is free once the leaving jobs have gone.
   const capacity_view& soon() const { return soon_; }
   /// Capacity that is free once all work that can be reclaimed has gone.
   const capacity_view& firm() const { return firm_; }
+  /// Capacity without the firm work outside of the guarantees only.
+  const capacity_view& outside() const { return outside_; }
   /// Use of the guarantees.
   const guarantee_ledger& ledger() const { return ledger_; }
+  /// Places for all guarantees on the empty cluster. They depend on the inventory and the usable workers
+  /// only, so that a guarantee whose jobs end finds its place again.
+  const guarantee_plan& homes() const { return homes_; }
 
  private:
   /// Excludes workers that must not get work from `view`.
   void LimitWorkers(capacity_view& view) const;
   /// Adds the jobs that hold workers, oldest first, so that the oldest lie within the guarantees.
   void AddAllocations();
+  /// True when all that `jobs` of one workspace hold lies within its guarantee together, whatever their age.
+  bool AllWithin(std::vector<const allocation*> jobs) const;
   /// Index of the workspace called `name`, or -1.
   int FindWorkspace(std::string_view name) const;
   /// Estimates the run time that `job` still needs.
@@ -83,12 +93,18 @@
   std::vector<int> used_;
   /// Use of the guarantees.
   guarantee_ledger ledger_;
+  /// See usable().
+  capacity_view usable_;
   /// See free().
   capacity_view free_;
   /// See soon().
   capacity_view soon_;
   /// See firm().
   capacity_view firm_;
+  /// See outside().
+  capacity_view outside_;
+  /// See homes().
+  guarantee_plan homes_;
   /// Jobs that hold workers.
   std::vector<allocation> allocations_;
 };
