--- a/tests/support/harness/scheduler_cluster.h
+++ b/tests/support/harness/scheduler_cluster.h
@@ -66,6 +66,8 @@
   std::optional<std::chrono::steady_clock::time_point> FirstWork(const std::string& id);
   /// Violations of invariant I2 so far; see FindGangViolations.
   std::vector<std::string> Violations(std::chrono::milliseconds partial_limit);
+  /// Longest time in a row for which some members of a gang worked and others did not.
+  std::chrono::microseconds LongestPartialRun();
   /// The scheduler's part of the dump.
   nlohmann::json Dump(int vm);
   /// Applies the configuration again without its last worker.
