--- a/tests/integration/scheduler_test.cpp
+++ b/tests/integration/scheduler_test.cpp
@@ -131,7 +131,7 @@
 // Fills all accelerators with work of "beta" that runs far longer than the test.
 std::vector<std::string> FillCluster(scheduler_cluster& system) {
   const json filler = {{"accelerators", 4}, {"run_time_ms", 600000}, {"may_checkpoint", true}};
-  const std::vector<std::string> ids = system.SubmitMany("beta", filler, 8);
+  std::vector<std::string> ids = system.SubmitMany("beta", filler, 8);
   for (const std::string& id : ids) REQUIRE(system.WaitForState(id, job_state::kRunning, seconds(15)));
   return ids;
 }
