--- a/tests/integration/scheduler_test.cpp
+++ b/tests/integration/scheduler_test.cpp
@@ -1,6 +1,7 @@
 #include <signal.h>
 
 #include <catch2/catch.hpp>
+#include <iostream>
 #include <thread>
 
 #include "tests/support/harness/scheduler_cluster.h"
@@ -35,6 +36,7 @@
   const std::vector<std::string> violations = system.Violations(limit);
   INFO(json(violations).dump(1));
   CHECK(violations.empty());
+  std::cout << "longest partial run of a gang: " << system.LongestPartialRun().count() << " us" << std::endl;
 }
 
 milliseconds RandomDelay(scheduler_cluster& system, int max_ms) {
@@ -52,7 +54,10 @@
 
 // Guards against a gang that goes on without a member whose worker restarted, and that is not started again.
 TEST_CASE("a gang that loses a member is stopped whole and started again", "[scheduler]") {
-  scheduler_cluster system;
+  // The loss must be noticed from the list that follows it, not from the end of the next wait.
+  scheduler_cluster_options options;
+  options.scheduler = {{"worker_wait_ms", 5000}};
+  scheduler_cluster system(options);
   const std::string id = system.Submit("beta", {{"members", 3}, {"accelerators", 4}, {"run_time_ms", 3000}});
   REQUIRE(system.WaitForState(id, job_state::kRunning, seconds(10)));
   std::this_thread::sleep_for(RandomDelay(system, 500));
@@ -66,10 +71,11 @@
 TEST_CASE("a gang waits for a member whose start was lost", "[scheduler]") {
   scheduler_cluster system;
   system.SetFaults("w1", {{"lose_starts", 1}});
-  system.SetFaults("w2", {{"lose_starts", 4}});
-  const std::string id = system.Submit("beta", {{"members", 4}, {"accelerators", 8}, {"run_time_ms", 800}});
+  system.SetFaults("w2", {{"lose_starts", 3}});
+  const std::string id = system.Submit("beta", {{"members", 4}, {"accelerators", 8}, {"run_time_ms", 3000}});
   REQUIRE(system.WaitForState(id, job_state::kFinished, seconds(60)));
-  CheckNoViolations(system, kPartialLimit);
+  // All workers take the commands that lift the shares, so the members start together.
+  CheckNoViolations(system, kPartialLimit / 2);
 }
 
 // Guards against a gang that goes on while one worker is silent, and against two attempts at once: the silent
@@ -82,8 +88,8 @@
   system.SetFaults(silent, {{"silent", true}});
   REQUIRE(system.WaitForState(id, job_state::kFinished, seconds(60)));
   CHECK(system.Job(id)->attempt >= 2);
-  // The silent worker's member works alone until its lease of 6 s ends.
-  CheckNoViolations(system, milliseconds(6000) + kPartialLimit);
+  // The silent worker's member works alone until its lease of 4 s ends.
+  CheckNoViolations(system, milliseconds(4000) + kPartialLimit);
 }
 
 // Guards against gangs that a dead owner leaves half started.
@@ -125,7 +131,7 @@
 // Fills all accelerators with work of "beta" that runs far longer than the test.
 std::vector<std::string> FillCluster(scheduler_cluster& system) {
   const json filler = {{"accelerators", 4}, {"run_time_ms", 600000}, {"may_checkpoint", true}};
-  const std::vector<std::string> ids = system.SubmitMany("beta", filler, 8);
+  std::vector<std::string> ids = system.SubmitMany("beta", filler, 8);
   for (const std::string& id : ids) REQUIRE(system.WaitForState(id, job_state::kRunning, seconds(15)));
   return ids;
 }
@@ -151,7 +157,9 @@
   REQUIRE(system.WaitForState(id, job_state::kFinished, seconds(30)));
   const auto first = system.FirstWork(id);
   REQUIRE(first.has_value());
-  return std::chrono::duration_cast<milliseconds>(*first - submitted);
+  const auto waited = std::chrono::duration_cast<milliseconds>(*first - submitted);
+  std::cout << "the guaranteed gang worked after " << waited.count() << " ms" << std::endl;
+  return waited;
 }
 
 // Guards against borrowed capacity that is not given back in time, and against work lost though it had a
@@ -201,7 +209,8 @@
   CheckNoViolations(system, kPartialLimit + kTakeover);
 }
 
-// Guards against leases that are renewed only while the store answers: the outage is longer than three terms.
+// Guards against leases that are renewed only while the store answers: the outage is five terms of a task
+// lease long.
 TEST_CASE("running tasks survive a store outage of 20 seconds", "[scheduler]") {
   scheduler_cluster system;
   const std::string id = system.Submit("beta", {{"members", 3}, {"accelerators", 4}, {"run_time_ms", 24000}});
@@ -267,7 +276,9 @@
   std::this_thread::sleep_for(seconds(3));
   system.SubmitMany("beta", {{"accelerators", 4}, {"run_time_ms", 200}}, 12);
   REQUIRE(system.WaitForAllFinal(seconds(20)));
-  for (const json& event : system.WorkerLog().at("events")) CHECK(event.at("worker") != "w1");
+  const json log = system.WorkerLog();
+  CHECK(log.at("events").size() == 24);
+  for (const json& event : log.at("events")) CHECK(event.at("worker") != "w1");
 }
 
 // Guards against a worker that fails every task and thereby every job.
@@ -282,8 +293,11 @@
 // Guards against a planned stop that costs the term of the pool lease, and against an unexplained dump.
 TEST_CASE("a graceful stop hands the pool over and the dump explains the state", "[scheduler]") {
   scheduler_cluster system;
-  system.SubmitMany("beta", {{"accelerators", 8}, {"run_time_ms", 60000}}, 4);
-  const std::string waiting = system.Submit("beta", {{"accelerators", 8}});
+  const json filler = {{"accelerators", 8}, {"run_time_ms", 60000}};
+  for (const std::string& id : system.SubmitMany("beta", filler, 4)) {
+    REQUIRE(system.WaitForState(id, job_state::kRunning, seconds(10)));
+  }
+  const std::string waiting = system.Submit("beta", filler);
   REQUIRE(system.WaitForState(waiting, job_state::kQueued, seconds(10)));
   const int owner = system.OwnerVm();
   REQUIRE(owner != 0);
