Close shifted connections, keep unreadable jobs, and renew no revoked lease while cut off

Cause: three faults found in review. An answer with another request's id was dropped but its connection went back to the pool, so that a later query for an execution, whose answer carried no id, could read another request's answer. The scheduler deleted inbox rows that it could not read, which are accepted jobs. A renewer that alone was cut off from the store renewed leases that the owner had revoked, so a worker could run an old attempt beside the new one. Ruled out: stopping all renewal without the store, since running tasks must survive a store outage. Change: http_client takes a check whether a response belongs to its request and closes the connection otherwise; queries for executions carry X-Request-Id; unreadable rows stay and are logged once; heartbeats tell whether the store answers the sender, and a cut-off renewer skips its round while another scheduler reaches the store. Conclusion: fixed; the same faults with real processes are not tested yet.

--- a/src/coordination/config_keeper.cpp
+++ b/src/coordination/config_keeper.cpp
@@ -52,16 +52,25 @@
   return true;
 }
 
-void config_keeper::RecordPeerContact(clock::time_point now) { RecordStoreContact(now); }
+void config_keeper::RecordPeerContact(clock::time_point now) {
+  const std::lock_guard lock(mutex_);
+  last_peer_contact_ = std::max(last_peer_contact_, now);
+}
 
 void config_keeper::RecordStoreContact(clock::time_point now) {
   const std::lock_guard lock(mutex_);
-  last_contact_ = std::max(last_contact_, now);
+  last_store_contact_ = std::max(last_store_contact_, now);
 }
 
 bool config_keeper::IsReady(clock::time_point now) const {
   const std::lock_guard lock(mutex_);
-  return current_ != nullptr && now - last_contact_ <= settings_.contact_limit;
+  const clock::time_point last_contact = std::max(last_store_contact_, last_peer_contact_);
+  return current_ != nullptr && now - last_contact <= settings_.contact_limit;
+}
+
+bool config_keeper::HasStoreContact(clock::time_point now) const {
+  const std::lock_guard lock(mutex_);
+  return now - last_store_contact_ <= settings_.contact_limit;
 }
 
 void config_keeper::AddListener(listener on_change) {
--- a/src/coordination/config_keeper.h
+++ b/src/coordination/config_keeper.h
@@ -41,6 +41,8 @@
   void RecordPeerContact(std::chrono::steady_clock::time_point now);
   /// True when a configuration is held and the store or a peer was heard from within the contact limit.
   bool IsReady(std::chrono::steady_clock::time_point now) const;
+  /// True when the store answered within the contact limit.
+  bool HasStoreContact(std::chrono::steady_clock::time_point now) const;
   /// Calls `on_change` after each adoption, on the thread that adopted. Add listeners before Run.
   void AddListener(listener on_change);
 
@@ -57,7 +59,8 @@
   // Guards the members below.
   mutable state::ranked_mutex mutex_{state::lock_rank::kConfig};
   config_ptr current_;
-  std::chrono::steady_clock::time_point last_contact_;
+  std::chrono::steady_clock::time_point last_store_contact_;
+  std::chrono::steady_clock::time_point last_peer_contact_;
   std::vector<listener> listeners_;
 };
 
--- a/src/coordination/job_store.cpp
+++ b/src/coordination/job_store.cpp
@@ -173,13 +173,14 @@
 
 void job_store::TakeSubmit(job_batch& batch, const protocol::table_row& row,
                            const std::function<std::string(const job_record&)>& check, state::wall_time now) {
-  batch.Delete(row.key);
   absl::StatusOr<job_record> record = protocol::DecodeJobRecord(row.value);
   if (!record.ok()) {
-    LOG(ERROR) << "scheduler: inbox row " << row.key
-               << " is dropped, it is not a job: " << record.status().message();
+    // The row is an accepted job, so it is kept: an owner with a newer program may be able to read it.
+    LOG_IF(ERROR, unreadable_.insert(row.key).second)
+        << "scheduler: inbox row " << row.key << " is kept but cannot be read: " << record.status().message();
     return;
   }
+  batch.Delete(row.key);
   // The row was taken up before; its deletion is repeated.
   if (batch.Find(record->id) != nullptr || final_.contains(record->id)) return;
   record->state = job_state::kQueued;
--- a/src/coordination/job_store.h
+++ b/src/coordination/job_store.h
@@ -129,6 +129,8 @@
   bool stale_ = true;
   // Cancels of jobs that were not known at the last look; see TakeCancel.
   std::set<std::string> early_cancels_;
+  // Inbox rows that were reported as unreadable.
+  std::set<std::string> unreadable_;
 };
 
 }  // namespace hickorystall::coordination
--- a/src/coordination/lease_renewer.cpp
+++ b/src/coordination/lease_renewer.cpp
@@ -21,12 +21,12 @@
 }
 
 lease_renewer::lease_renewer(protocol::worker_client& client, protocol::table_client& table,
-                             lease_renewer_settings settings, config_source config, peer_source live_peers)
+                             lease_renewer_settings settings, config_source config, peer_source peers)
     : client_(client),
       table_(table),
       settings_(std::move(settings)),
       config_(std::move(config)),
-      live_peers_(std::move(live_peers)) {}
+      peers_(std::move(peers)) {}
 
 asio::awaitable<void> lease_renewer::Run(std::function<bool()> stop) {
   // Looks at the stop condition more often than it renews.
@@ -38,25 +38,31 @@
   }
 }
 
-asio::awaitable<void> lease_renewer::ReadRevoked() {
+// Returns false when the table does not answer.
+asio::awaitable<bool> lease_renewer::ReadRevoked() {
   const std::string prefix = RevokedLeaseKey(settings_.pool, "");
   const absl::StatusOr<std::vector<protocol::table_row>> rows = co_await table_.Scan(prefix);
-  if (!rows.ok()) co_return;
+  if (!rows.ok()) co_return false;
   revoked_.clear();
   for (const protocol::table_row& row : *rows) revoked_.insert(row.key.substr(prefix.size()));
+  co_return true;
 }
 
 asio::awaitable<void> lease_renewer::RenewAll() {
   const auto config = config_();
   if (config == nullptr) co_return;
-  const std::vector<std::string> peers = live_peers_();
+  const std::vector<std::string> live = peers_().live;
   std::vector<std::string> endpoints;
   for (const state::vm_config& vm : config->config.vms) {
     if (vm.kind != state::vm_kind::kWorker) continue;
-    if (IsResponsible(peers, settings_.instance, vm.name)) endpoints.push_back(vm.address);
+    if (IsResponsible(live, settings_.instance, vm.name)) endpoints.push_back(vm.address);
   }
   workers_in_share_ = endpoints.size();
-  co_await ReadRevoked();
+  const bool knows_revoked = co_await ReadRevoked();
+  if (!knows_revoked && peers_().others_reach_store) {
+    ++skipped_rounds_;
+    co_return;
+  }
   co_await RunForEach<int>(endpoints.size(), [this, &endpoints](std::size_t i) -> asio::awaitable<int> {
     co_await RenewWorker(endpoints[i]);
     co_return 0;
@@ -83,6 +89,7 @@
   return {{"workers_in_share", workers_in_share_},
           {"renewed", renewed_},
           {"failed_calls", failed_calls_},
+          {"skipped_rounds", skipped_rounds_},
           {"revoked", revoked_}};
 }
 
--- a/src/coordination/lease_renewer.h
+++ b/src/coordination/lease_renewer.h
@@ -31,18 +31,26 @@
   std::chrono::milliseconds call_timeout{1000};
 };
 
+/// The schedulers that share the renewal of task leases.
+struct renewal_peers {
+  /// Names of the live schedulers, this one included; empty makes this instance renew for all workers.
+  std::vector<std::string> live;
+  /// True when another live scheduler reports that the table answers it.
+  bool others_reach_store = false;
+};
+
 /// Renews the task leases of this instance's share of the workers, from what each worker lists, whether or
 /// not the store answers. A lease that was stopped or has lapsed is dead on the worker, and one that the
-/// pool's owner has revoked is left to lapse. Not thread-safe: use it on one loop.
+/// pool's owner has revoked is left to lapse. An instance that alone is cut off from the store does not
+/// renew, because it cannot know which leases were revoked. Not thread-safe: use it on one loop.
 class lease_renewer {
  public:
   using config_source = std::function<std::shared_ptr<const state::versioned_config>()>;
-  using peer_source = std::function<std::vector<std::string>()>;
+  using peer_source = std::function<renewal_peers()>;
 
-  /// `client` and `table` must outlive the renewer. `live_peers` returns the names of the live schedulers,
-  /// this one included; an empty list makes this instance renew for all workers.
+  /// `client` and `table` must outlive the renewer.
   lease_renewer(protocol::worker_client& client, protocol::table_client& table,
-                lease_renewer_settings settings, config_source config, peer_source live_peers);
+                lease_renewer_settings settings, config_source config, peer_source peers);
 
   /// Renews until `stop` returns true.
   boost::asio::awaitable<void> Run(std::function<bool()> stop);
@@ -53,16 +61,17 @@
 
  private:
   boost::asio::awaitable<void> RenewWorker(std::string endpoint);
-  boost::asio::awaitable<void> ReadRevoked();
+  boost::asio::awaitable<bool> ReadRevoked();
 
   protocol::worker_client& client_;
   protocol::table_client& table_;
   const lease_renewer_settings settings_;
   const config_source config_;
-  const peer_source live_peers_;
+  const peer_source peers_;
   std::set<std::string> revoked_;
   std::int64_t renewed_ = 0;
   std::int64_t failed_calls_ = 0;
+  std::int64_t skipped_rounds_ = 0;
   std::size_t workers_in_share_ = 0;
 };
 
--- a/src/coordination/peer_mesh.cpp
+++ b/src/coordination/peer_mesh.cpp
@@ -138,6 +138,7 @@
   own.config_version = config_.version();
   own.ready = is_ready_ && is_ready_();
   own.leaving = leaving_;
+  own.store_reachable = config_.HasStoreContact(clock::now());
   own.last_heard = clock::now();
   return own;
 }
@@ -180,6 +181,7 @@
   heartbeat.set_config_version(config_.version());
   heartbeat.set_ready(!leaving_ && is_ready_ && is_ready_());
   heartbeat.set_leaving(leaving_);
+  heartbeat.set_store_reachable(config_.HasStoreContact(clock::now()));
   SendTo(endpoint, *message);
 }
 
@@ -223,6 +225,7 @@
       peer.config_version = heartbeat.config_version();
       peer.ready = heartbeat.ready();
       peer.leaving = heartbeat.leaving();
+      peer.store_reachable = heartbeat.store_reachable();
       is_new = peers_->RecordHeard(peer, now) && !peer.leaving;
       ask = peer.config_version > own_version && now - last_query_ >= kQueryInterval;
       if (ask) last_query_ = now;
--- a/src/coordination/peer_table.h
+++ b/src/coordination/peer_table.h
@@ -27,6 +27,8 @@
   bool ready = false;
   /// Whether it is stopping.
   bool leaving = false;
+  /// Whether the platform's table answered it lately.
+  bool store_reachable = false;
   /// When it was last heard from.
   std::chrono::steady_clock::time_point last_heard;
 };
--- a/src/programs/scheduler/main.cpp
+++ b/src/programs/scheduler/main.cpp
@@ -6,13 +6,20 @@
 namespace {
 
 namespace scheduler = hickorystall::programs::scheduler;
+using hickorystall::coordination::renewal_peers;
 using hickorystall::coordination::scheduler_loop;
 using hickorystall::programs::common::server_program;
 
-std::vector<std::string> LiveSchedulers(server_program& program) {
-  std::vector<std::string> names;
-  for (const auto& peer : program.mesh().LivePeers("scheduler")) names.push_back(peer.instance);
-  return names;
+// `fixed_names` replaces the names of the live schedulers when it is not empty.
+renewal_peers RenewalPeers(server_program& program, const std::vector<std::string>& fixed_names) {
+  renewal_peers peers;
+  for (const auto& peer : program.mesh().LivePeers("scheduler")) {
+    peers.live.push_back(peer.instance);
+    const bool is_self = peer.instance == program.settings().instance;
+    peers.others_reach_store = peers.others_reach_store || (!is_self && peer.store_reachable);
+  }
+  if (!fixed_names.empty()) peers.live = fixed_names;
+  return peers;
 }
 
 int RunProgram(scheduler::scheduler_program_settings settings) {
@@ -23,9 +30,7 @@
       {hickorystall::state::Decide, hickorystall::state::ExplainImpossible},
       [&program] { return program.config().current(); },
       [&program] { return program.platform().LeavingVms(); },
-      [&] {
-        return settings.peers_for_leases.empty() ? LiveSchedulers(program) : settings.peers_for_leases;
-      });
+      [&] { return RenewalPeers(program, settings.peers_for_leases); });
   program.mesh().AddJobHintListener([&](const std::string& pool) {
     if (pool == settings.server.region) loop.Hint();
   });
--- a/src/protocol/executor_client.cpp
+++ b/src/protocol/executor_client.cpp
@@ -29,6 +29,13 @@
   return absl::IsDataLoss(exchange.status) ? execute_outcome::kWrongAnswer : execute_outcome::kBroken;
 }
 
+// Accepts only answers with `id`. Neither the body nor the status of another one may be used.
+transport::http_client::response_check CarriesId(std::string id) {
+  return [id = std::move(id)](const transport::http_response& response) {
+    return response.Header("X-Request-Id") == id;
+  };
+}
+
 execute_outcome ClassifyAnswer(const transport::http_response& response) {
   if (response.status < 500) return execute_outcome::kAnswered;
   if (response.status != 503) return execute_outcome::kFailed;
@@ -54,20 +61,15 @@
       "/v1/execute",
       {{"X-Request-Id", request.id}, {"X-Kind", request.kind}, {"Content-Type", "application/octet-stream"}},
       std::move(request.body)};
+  transport::http_client::response_check belongs = CarriesId(request.id);
   transport::http_exchange exchange =
-      co_await http_.Send(request.address, std::move(message), request.timeout);
+      co_await http_.Send(request.address, std::move(message), request.timeout, std::move(belongs));
   execution_result result;
   if (!exchange.status.ok()) {
     result.outcome = ClassifyFailure(exchange);
     result.message = std::string(exchange.status.message());
     co_return result;
   }
-  // An answer with another id belongs to another request: neither its body nor its status may be used.
-  if (exchange.response.Header("X-Request-Id") != request.id) {
-    result.outcome = execute_outcome::kWrongAnswer;
-    result.message = "answer of " + request.address + " carries another X-Request-Id";
-    co_return result;
-  }
   result.outcome = ClassifyAnswer(exchange.response);
   result.status = exchange.response.status;
   result.content_type = std::string(exchange.response.Header("Content-Type"));
@@ -79,8 +81,11 @@
 
 asio::awaitable<absl::StatusOr<execution_record>> executor_client::Query(std::string address, std::string id,
                                                                          std::chrono::milliseconds timeout) {
-  transport::http_request request{"GET", "/v1/executions/" + transport::PercentEncode(id), {}, ""};
-  const transport::http_exchange exchange = co_await http_.Send(address, std::move(request), timeout);
+  transport::http_request request{
+      "GET", "/v1/executions/" + transport::PercentEncode(id), {{"X-Request-Id", id}}, ""};
+  transport::http_client::response_check belongs = CarriesId(id);
+  const transport::http_exchange exchange =
+      co_await http_.Send(address, std::move(request), timeout, std::move(belongs));
   if (!exchange.status.ok()) co_return absl::UnavailableError(std::string(exchange.status.message()));
   const json body = json::parse(exchange.response.body, nullptr, false);
   if (exchange.response.status != 200 || !body.is_object() || !body.contains("state") ||
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -150,7 +150,7 @@
 http_client::~http_client() = default;
 
 asio::awaitable<http_exchange> http_client::Send(std::string endpoint, http_request request,
-                                                 std::chrono::milliseconds timeout) {
+                                                 std::chrono::milliseconds timeout, response_check belongs) {
   const std::shared_ptr<shared_state> state = state_;
   const clock::time_point deadline = clock::now() + timeout;
   http_exchange result;
@@ -186,6 +186,11 @@
   }
   const bool keep_alive = parser.get().keep_alive();
   result.response = TakeResponse(parser.release());
+  if (belongs && !belongs(result.response)) {
+    result.response = {};
+    result.status = absl::DataLossError("response from " + endpoint + " belongs to another request");
+    co_return result;
+  }
   if (keep_alive) {
     connection->stream.expires_never();
     state->PutIdle(endpoint, std::move(connection));
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -46,10 +47,15 @@
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
 
+  /// Tells whether a response belongs to the request that it was read for.
+  using response_check = std::function<bool(const http_response&)>;
+
   /// Sends `request` to `endpoint` ("ip:port") and reads the whole response within `timeout`. Must be called
-  /// on a loop of the pool.
+  /// on a loop of the pool. When `belongs` is given and returns false, the exchange fails with DataLoss and
+  /// the connection is closed: what follows on it may belong to other requests as well.
   boost::asio::awaitable<http_exchange> Send(std::string endpoint, http_request request,
-                                             std::chrono::milliseconds timeout);
+                                             std::chrono::milliseconds timeout,
+                                             response_check belongs = nullptr);
 
  private:
   struct shared_state;
--- a/tests/support/standin_executor/executor.cpp
+++ b/tests/support/standin_executor/executor.cpp
@@ -133,6 +133,7 @@
         200, json{{"state", settings_.leaving ? "leaving" : "serving"}, {"in_flight", in_flight_}}.dump());
   } else if (target.starts_with(executions)) {
     answer = DescribeExecution(target.substr(executions.size()));
+    answer.set("X-Request-Id", request["X-Request-Id"]);
   }
   co_return co_await Write(connection, answer);
 }
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -63,6 +63,26 @@
   CHECK(exchange.response.status == 413);
 }
 
+// Guards against a connection on which each answer belongs to the request before.
+TEST_CASE_METHOD(echo_fixture, "a response that belongs to another request closes its connection", "[http]") {
+  const auto reject = [](const http_response& response) { return response.body != "wrong"; };
+  const auto send = [&](const std::string& body) {
+    http_request request{"POST", "/", {}, body};
+    return asio::co_spawn(pool.context(0), client.Send(endpoint, request, milliseconds(2000), reject),
+                          asio::use_future)
+        .get();
+  };
+  const http_exchange wrong = send("wrong");
+  CHECK(absl::IsDataLoss(wrong.status));
+  CHECK(wrong.response.body.empty());
+  CHECK(wrong.bytes_sent);
+  // The server notices the end of the connection a moment later.
+  for (int i = 0; i < 100 && server->open_connections() > 0; ++i)
+    std::this_thread::sleep_for(milliseconds(20));
+  CHECK(server->open_connections() == 0);
+  CHECK(send("right").status.ok());
+}
+
 // Guards against reporting that a request may have run when no byte of it left the process.
 TEST_CASE_METHOD(echo_fixture, "a refused connection sends no bytes", "[http]") {
   endpoint = "127.0.0.1:1";
