--- a/scripts/check_coroutines.py
+++ b/scripts/check_coroutines.py
@@ -1,28 +1,32 @@
 #!/usr/bin/env python3
-"""Fails when a co_await expression holds a braced temporary.
+"""Fails on two forms of co_await that GCC 12 compiles wrongly.
 
-GCC 12 destroys aggregate temporaries of such an expression twice (seen as "free(): invalid pointer" in the VM list
-poll). A named variable in the statement before avoids it.
+A braced temporary in the expression is destroyed twice (seen as "free(): invalid pointer" in the VM list poll). A
+co_await in the condition of a loop never leaves the loop (seen as an owner that spins after it took over). A named
+variable in the statement before avoids both.
 """
 import pathlib
 import re
 import sys
 
+LOOP = re.compile(r"\bwhile\s*\((?:[^(){};]|\([^()]*\))*co_await")
 BRACED = re.compile(r"co_await\s+[^;{}\[\]]*[(,]\s*\{")
 
 
 def main():
     root = pathlib.Path(__file__).resolve().parent.parent
     failed = False
-    for folder in ("src", "tests", "benchmarks"):
+    for folder in ("src", "platform", "tests", "benchmarks"):
         for path in sorted((root / folder).rglob("*")):
             if path.suffix not in (".cpp", ".h"):
                 continue
             text = path.read_text()
-            for match in BRACED.finditer(text):
-                line = text.count("\n", 0, match.start()) + 1
-                print(f"{path.relative_to(root)}:{line}: braced temporary in a co_await expression")
-                failed = True
+            for pattern, problem in ((BRACED, "braced temporary in a co_await expression"),
+                                     (LOOP, "co_await in the condition of a loop")):
+                for match in pattern.finditer(text):
+                    line = text.count("\n", 0, match.start()) + 1
+                    print(f"{path.relative_to(root)}:{line}: {problem}")
+                    failed = True
     return 1 if failed else 0
 
 
--- a/scripts/check_format.sh
+++ b/scripts/check_format.sh
@@ -2,5 +2,5 @@
 # Fails when a source file differs from what the formatter writes.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'tests/*.h' 'tests/*.cpp' 'benchmarks/*.h' 'benchmarks/*.cpp' |
+git ls-files -co --exclude-standard 'src/*.h' 'src/*.cpp' 'platform/*.h' 'platform/*.cpp' 'tests/*.h' 'tests/*.cpp' 'benchmarks/*.h' 'benchmarks/*.cpp' |
   grep -v '\.pb\.' | xargs clang-format --dry-run --Werror
--- /dev/null
+++ b/src/coordination/pool/event_log.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace spdlog {
+class logger;
+}
+
+namespace hickorystall::coordination::pool {
+
+/// Fields of a log record: name and value.
+using log_fields = std::vector<std::pair<std::string_view, std::string>>;
+
+/// Structured log to standard output: one record a line, "PART: EVENT name=value ...". Records pass through a
+/// bounded queue to a writer thread, so that a blocked reader delays nothing; what does not fit is dropped
+/// and counted.
+class event_log {
+ public:
+  /// `instance` stands in every record.
+  explicit event_log(std::string instance);
+  ~event_log();
+  event_log(const event_log&) = delete;
+  event_log& operator=(const event_log&) = delete;
+
+  /// Writes one record.
+  void Write(std::string_view part, std::string_view event, const log_fields& fields);
+  /// Records dropped since the start.
+  std::uint64_t dropped() const;
+
+ private:
+  const std::string instance_;
+  std::shared_ptr<spdlog::logger> logger_;
+};
+
+}  // namespace hickorystall::coordination::pool
--- /dev/null
+++ b/src/coordination/pool/job_front.cpp
@@ -0,0 +1,161 @@
+#include "coordination/pool/job_front.h"
+
+#include "coordination/pool/pool_tables.h"
+#include "transport/async_event.h"
+#include "transport/boot_clock.h"
+
+namespace hickorystall::coordination::pool {
+
+using namespace state::pool;  // NOLINT(google-build-using-namespace)
+using state::error_kind;
+using std::chrono::milliseconds;
+using transport::BootNow;
+
+namespace {
+
+// Time for an answer of the store before a call is repeated on a new connection. The store is slow for long
+// stretches; its slow answers take up to 0.4 s.
+constexpr milliseconds kAnswerTimeout{700};
+// Age at which the counts of waiting jobs are read again. Clients accept 2 s.
+constexpr milliseconds kCountAge{1000};
+// Last moment for an answer to reach the client before it gives up.
+constexpr milliseconds kAnswerMargin{200};
+
+front_answer Refuse(error_kind kind, std::string message) {
+  front_answer answer;
+  answer.refusal = kind;
+  answer.message = std::move(message);
+  return answer;
+}
+
+// Answer to a write that was given up: only one that was never sent, or was refused, has certainly not run.
+front_answer RefuseWrite(bool is_doubtful) {
+  return is_doubtful ? Refuse(error_kind::kOutcomeUnknown,
+                              "the store has not answered; repeat the call with the same id")
+                     : Refuse(error_kind::kStoreUnavailable, "the store does not take the write");
+}
+
+}  // namespace
+
+boost::asio::awaitable<front_answer> job_front::Submit(job_submission submission, boot_time deadline) {
+  job_entry entry;
+  entry.submission = submission;
+  const std::string text = EncodeSubmission(submission);
+  const std::string progress = EncodeProgress(entry);
+  bool is_doubtful = false;
+  while (true) {
+    const milliseconds left = deadline - BootNow() - kAnswerMargin;
+    if (left <= milliseconds(0)) co_return RefuseWrite(is_doubtful);
+    store_transaction transaction;
+    transaction.conditions = {{kJobsTable, submission.id, 0}, {kProgressTable, submission.id, 0}};
+    transaction.changes = {{kJobsTable, submission.id, text}, {kProgressTable, submission.id, progress}};
+    const transaction_result result =
+        co_await store_.Apply(std::move(transaction), std::min(kAnswerTimeout, left));
+    if (result.outcome == transaction_outcome::kDone) co_return front_answer{};
+    if (result.outcome == transaction_outcome::kConflict) {
+      // A repeated submission, or an earlier try of this one whose answer was lost.
+      for (const stored_row& row : result.current) {
+        if (row.table != kJobsTable || row.version == 0) continue;
+        const absl::StatusOr<job_submission> known = DecodeSubmission(submission.id, row.value);
+        if (known.ok() && known->workspace != submission.workspace) {
+          co_return Refuse(error_kind::kIdempotencyKeyReused, "the id belongs to another job");
+        }
+      }
+      co_return front_answer{};
+    }
+    if (result.outcome == transaction_outcome::kNotDone) co_return RefuseWrite(is_doubtful);
+    is_doubtful = true;
+  }
+}
+
+boost::asio::awaitable<job_front::job_rows> job_front::ReadJob(std::string id) {
+  job_rows rows;
+  const rows_result result =
+      co_await store_.ReadRange(kProgressTable, id, id + kAfterJobSuffix, kAnswerTimeout);
+  if (!result.status.ok()) {
+    rows.problem = error_kind::kStoreUnavailable;
+    co_return rows;
+  }
+  for (const stored_row& row : result.rows) {
+    if (row.key == id + kCancelSuffix) rows.is_cancelled = true;
+    if (row.key != id) continue;
+    const absl::StatusOr<stored_progress> progress = DecodeProgress(row.value);
+    if (progress.ok()) {
+      rows.progress = *progress;
+    } else {
+      log_.Write("front", "unreadable progress",
+                 {{"id", id}, {"reason", std::string(progress.status().message())}});
+      rows.problem = error_kind::kInternal;
+    }
+  }
+  co_return rows;
+}
+
+boost::asio::awaitable<front_answer> job_front::ReadState(std::string workspace, std::string id) {
+  const job_rows rows = co_await ReadJob(id);
+  if (rows.problem) co_return Refuse(*rows.problem, "the state cannot be read");
+  if (!rows.progress || (!workspace.empty() && rows.progress->workspace != workspace)) {
+    co_return Refuse(error_kind::kJobUnknown, "no such job");
+  }
+  front_answer answer;
+  answer.phase = rows.progress->phase;
+  if (rows.is_cancelled && !IsFinal(answer.phase)) answer.phase = job_phase::kCancelled;
+  co_return answer;
+}
+
+boost::asio::awaitable<front_answer> job_front::Cancel(std::string workspace, std::string id,
+                                                       boot_time deadline) {
+  const job_rows rows = co_await ReadJob(id);
+  if (rows.problem) co_return Refuse(*rows.problem, "the state cannot be read");
+  if (!rows.progress || (!workspace.empty() && rows.progress->workspace != workspace)) {
+    co_return Refuse(error_kind::kJobUnknown, "no such job");
+  }
+  if (rows.is_cancelled || IsFinal(rows.progress->phase)) co_return front_answer{};
+  bool is_doubtful = false;
+  while (true) {
+    const milliseconds left = deadline - BootNow() - kAnswerMargin;
+    if (left <= milliseconds(0)) co_return RefuseWrite(is_doubtful);
+    store_transaction transaction;
+    transaction.changes = {{kJobsTable, id + kCancelSuffix, "{}"},
+                           {kProgressTable, id + kCancelSuffix, "{}"}};
+    const transaction_result result =
+        co_await store_.Apply(std::move(transaction), std::min(kAnswerTimeout, left));
+    if (result.outcome == transaction_outcome::kDone) co_return front_answer{};
+    if (result.outcome != transaction_outcome::kUnknown) co_return RefuseWrite(is_doubtful);
+    is_doubtful = true;
+  }
+}
+
+boost::asio::awaitable<bool> job_front::RefreshCounts() {
+  if (counted_at_ != boot_time{} && BootNow() - counted_at_ < kCountAge) co_return true;
+  const boot_time read_at = BootNow();
+  const rows_result result = co_await store_.ReadRange(kProgressTable, "", "", kAnswerTimeout);
+  if (!result.status.ok()) co_return false;
+  waiting_by_queue_.clear();
+  std::map<std::string, stored_progress> waiting;
+  for (const stored_row& row : result.rows) {
+    // A cancellation follows its job in the order of the keys.
+    if (row.key.ends_with(kCancelSuffix)) {
+      waiting.erase(row.key.substr(0, row.key.size() - (sizeof(kCancelSuffix) - 1)));
+      continue;
+    }
+    const absl::StatusOr<stored_progress> progress = DecodeProgress(row.value);
+    if (progress.ok() && progress->phase == job_phase::kQueued) waiting[row.key] = *progress;
+  }
+  for (const auto& [id, progress] : waiting) ++waiting_by_queue_[progress.queue];
+  counted_at_ = read_at;
+  co_return true;
+}
+
+boost::asio::awaitable<front_answer> job_front::CountWaiting(std::string queue) {
+  const bool counted = co_await RefreshCounts();
+  if (!counted) {
+    co_return Refuse(error_kind::kStoreUnavailable, "the queue cannot be read");
+  }
+  front_answer answer;
+  const auto found = waiting_by_queue_.find(queue);
+  answer.waiting_jobs = found == waiting_by_queue_.end() ? 0 : found->second;
+  co_return answer;
+}
+
+}  // namespace hickorystall::coordination::pool
--- /dev/null
+++ b/src/coordination/pool/job_front.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "coordination/pool/event_log.h"
+#include "coordination/pool/pool_codec.h"
+#include "coordination/pool/pool_store.h"
+#include "state/error_kind.h"
+#include "state/pool/pool_config.h"
+#include "state/pool/pool_time.h"
+
+namespace hickorystall::coordination::pool {
+
+/// Answer to a client's call about jobs.
+struct front_answer {
+  /// Why the call is refused; nothing when it is served.
+  std::optional<state::error_kind> refusal;
+  /// Reason for the client, or empty.
+  std::string message;
+  /// State of the job, for a state query.
+  state::pool::job_phase phase = state::pool::job_phase::kQueued;
+  /// Accepted jobs that have not begun, for a queue query.
+  int waiting_jobs = 0;
+};
+
+/// Serves clients' calls about jobs on any VM. It only reads and writes the store; the owner of the pool
+/// learns of jobs and cancellations from the store's change feed.
+class job_front {
+ public:
+  /// `store` and `log` must outlive the object.
+  job_front(pool_store& store, event_log& log) : store_(store), log_(log) {}
+
+  /// Stores a job. Repeating the same submission is harmless. The answer is given by `deadline`.
+  boost::asio::awaitable<front_answer> Submit(state::pool::job_submission submission,
+                                              state::pool::boot_time deadline);
+  /// Reads the state of a job of `workspace`.
+  boost::asio::awaitable<front_answer> ReadState(std::string workspace, std::string id);
+  /// Stores the cancellation of a job of `workspace`.
+  boost::asio::awaitable<front_answer> Cancel(std::string workspace, std::string id,
+                                              state::pool::boot_time deadline);
+  /// Counts the accepted jobs of `queue` that have not begun. The count may be a second old.
+  boost::asio::awaitable<front_answer> CountWaiting(std::string queue);
+
+ private:
+  struct job_rows {
+    std::optional<state::error_kind> problem;
+    std::optional<stored_progress> progress;
+    bool is_cancelled = false;
+  };
+  boost::asio::awaitable<job_rows> ReadJob(std::string id);
+  boost::asio::awaitable<bool> RefreshCounts();
+
+  pool_store& store_;
+  event_log& log_;
+  std::map<std::string, int> waiting_by_queue_;
+  state::pool::boot_time counted_at_{};
+};
+
+}  // namespace hickorystall::coordination::pool
--- /dev/null
+++ b/src/coordination/pool/ownership.cpp
@@ -0,0 +1,191 @@
+#include "coordination/pool/ownership.h"
+
+#include <nlohmann/json.hpp>
+
+#include "coordination/pool/pool_tables.h"
+#include "transport/async_event.h"
+#include "transport/boot_clock.h"
+
+namespace hickorystall::coordination::pool {
+
+using nlohmann::json;
+using state::pool::boot_time;
+using std::chrono::milliseconds;
+using transport::BootNow;
+
+namespace {
+
+// Time for an answer of the store before the call is repeated on a new connection.
+constexpr milliseconds kAnswerTimeout{800};
+// Pause after a failed call.
+constexpr milliseconds kRetryPause{150};
+
+}  // namespace
+
+ownership::ownership(pool_store& store, event_log& log, ownership_settings settings)
+    : store_(store), log_(log), settings_(std::move(settings)) {}
+
+bool ownership::HasAuthority() const { return epoch_ > 0 && BootNow() < authority_until_; }
+
+boost::asio::awaitable<void> ownership::Run() {
+  while (!stopping_) {
+    if (is_owner()) {
+      co_await RenewOnce();
+      continue;
+    }
+    co_await FollowOnce();
+    if (!stopping_ && MayTakeOver()) co_await TryTakeover();
+  }
+  if (is_owner()) co_await Release();
+  ended_ = true;
+}
+
+std::string ownership::LeaseValue() const {
+  return json{{"holder", settings_.life}, {"vm", settings_.instance}, {"epoch", epoch_}}.dump();
+}
+
+void ownership::TakeRow(const stored_row& row) {
+  const json value = row.removed ? json() : json::parse(row.value, nullptr, false);
+  if (row.key == kEpochKey) {
+    seen_.epoch = value.is_object() ? value.value("epoch", std::int64_t{0}) : 0;
+    seen_.epoch_version = row.removed ? 0 : row.version;
+  } else if (row.key == kLeaseKey) {
+    if (row.version != seen_.lease_version) unchanged_since_ = BootNow();
+    seen_.holder = value.is_object() ? value.value("holder", "") : "";
+    seen_.lease_version = row.removed ? 0 : row.version;
+  }
+}
+
+boost::asio::awaitable<void> ownership::FollowOnce() {
+  rows_result result;
+  if (!position_) {
+    result = co_await store_.ReadRange(kOwnershipTable, "", "", kAnswerTimeout);
+  } else {
+    // The wait ends when this VM might take over.
+    const milliseconds left = settings_.term - (BootNow() - unchanged_since_);
+    const milliseconds wait = std::clamp(left, milliseconds(50), settings_.term);
+    result = co_await store_.Follow(kOwnershipTable, *position_, wait, kAnswerTimeout);
+  }
+  if (!result.status.ok()) {
+    // Without the store this VM cannot tell whether the lease is renewed.
+    unchanged_since_ = BootNow() + kRetryPause;
+    position_.reset();
+    co_await transport::Sleep(kRetryPause);
+    co_return;
+  }
+  if (!position_ && unchanged_since_ == boot_time{}) unchanged_since_ = BootNow();
+  for (const stored_row& row : result.rows) TakeRow(row);
+  position_ = result.version;
+}
+
+bool ownership::MayTakeOver() const {
+  if (!position_) return false;
+  const bool is_free = seen_.lease_version == 0 || seen_.holder.empty();
+  return is_free || BootNow() - unchanged_since_ >= settings_.term;
+}
+
+boost::asio::awaitable<void> ownership::TryTakeover() {
+  if (settings_.takeover_delay.count() > 0) {
+    const std::int64_t version = seen_.lease_version;
+    co_await transport::Sleep(settings_.takeover_delay);
+    const rows_result rows = co_await store_.ReadRange(kOwnershipTable, "", "", kAnswerTimeout);
+    if (!rows.status.ok()) {
+      position_.reset();
+      co_return;
+    }
+    for (const stored_row& row : rows.rows) TakeRow(row);
+    position_ = rows.version;
+    if (seen_.lease_version != version || stopping_) co_return;
+  }
+  const boot_time sent_at = BootNow();
+  const std::int64_t epoch = seen_.epoch + 1;
+  store_transaction transaction;
+  transaction.conditions = {{kOwnershipTable, kEpochKey, seen_.epoch_version},
+                            {kOwnershipTable, kLeaseKey, seen_.lease_version}};
+  const json lease{{"holder", settings_.life}, {"vm", settings_.instance}, {"epoch", epoch}};
+  transaction.changes = {
+      {kOwnershipTable, kEpochKey, json{{"epoch", epoch}, {"holder", settings_.life}}.dump()},
+      {kOwnershipTable, kLeaseKey, lease.dump()}};
+  const transaction_result result = co_await store_.Apply(std::move(transaction), kAnswerTimeout);
+  if (result.outcome != transaction_outcome::kDone) {
+    // After a lost answer the rows tell whether it was applied; this VM then finds its own name in the lease,
+    // lets it lapse and takes over with the next epoch.
+    position_.reset();
+    unchanged_since_ = BootNow();
+    co_await transport::Sleep(kRetryPause);
+    co_return;
+  }
+  epoch_ = epoch;
+  epoch_version_ = result.version;
+  lease_version_ = result.version;
+  authority_until_ = sent_at + settings_.term - settings_.margin;
+  log_.Write("ownership", "gained",
+             {{"epoch", std::to_string(epoch_)}, {"previous", seen_.holder.empty() ? "none" : seen_.holder}});
+  if (listener_) listener_(true);
+}
+
+boost::asio::awaitable<void> ownership::RenewOnce() {
+  const boot_time next = BootNow() + settings_.renewal;
+  const boot_time sent_at = BootNow();
+  store_transaction transaction;
+  transaction.conditions = {{kOwnershipTable, kEpochKey, epoch_version_},
+                            {kOwnershipTable, kLeaseKey, lease_version_}};
+  transaction.changes = {{kOwnershipTable, kLeaseKey, LeaseValue()}};
+  const transaction_result result = co_await store_.Apply(std::move(transaction), kAnswerTimeout);
+  if (!is_owner()) co_return;
+  if (result.outcome == transaction_outcome::kDone) {
+    const bool was_late = BootNow() >= authority_until_;
+    if (was_late) log_.Write("ownership", "renewed late", {{"epoch", std::to_string(epoch_)}});
+    lease_version_ = result.version;
+    authority_until_ = std::max(authority_until_, sent_at + settings_.term - settings_.margin);
+    while (!stopping_ && is_owner() && BootNow() < next) {
+      co_await transport::Sleep(std::min(milliseconds(100), next - BootNow()));
+    }
+    co_return;
+  }
+  if (result.outcome == transaction_outcome::kConflict) {
+    bool is_own = false;
+    for (const stored_row& row : result.current) {
+      if (row.key == kEpochKey && row.version != epoch_version_) {
+        Lose("another owner wrote the epoch");
+        co_return;
+      }
+      if (row.key != kLeaseKey) continue;
+      const json value = json::parse(row.value, nullptr, false);
+      is_own = value.is_object() && value.value("holder", "") == settings_.life;
+      // An earlier renewal whose answer was lost.
+      if (is_own) lease_version_ = row.version;
+    }
+    if (!is_own) Lose("the lease was taken");
+    co_return;
+  }
+  co_await transport::Sleep(kRetryPause);
+}
+
+void ownership::Lose(const std::string& reason) {
+  if (!is_owner()) return;
+  log_.Write("ownership", "lost", {{"epoch", std::to_string(epoch_)}, {"reason", reason}});
+  epoch_ = 0;
+  authority_until_ = {};
+  position_.reset();
+  seen_ = {};
+  unchanged_since_ = BootNow();
+  if (listener_) listener_(false);
+}
+
+boost::asio::awaitable<void> ownership::Release() {
+  // Nothing may be ordered once another VM can take over.
+  authority_until_ = {};
+  const std::int64_t epoch = epoch_;
+  if (listener_) listener_(false);
+  store_transaction transaction;
+  transaction.conditions = {{kOwnershipTable, kEpochKey, epoch_version_}};
+  transaction.changes = {{kOwnershipTable, kLeaseKey, json{{"holder", ""}, {"epoch", epoch}}.dump()}};
+  const transaction_result result = co_await store_.Apply(std::move(transaction), kAnswerTimeout);
+  log_.Write("ownership", "released",
+             {{"epoch", std::to_string(epoch)},
+              {"stored", result.outcome == transaction_outcome::kDone ? "yes" : "unknown"}});
+  epoch_ = 0;
+}
+
+}  // namespace hickorystall::coordination::pool
--- /dev/null
+++ b/src/coordination/pool/pool_owner.cpp
@@ -0,0 +1,333 @@
+#include "coordination/pool/pool_owner.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include "coordination/pool/pool_codec.h"
+#include "coordination/pool/pool_tables.h"
+#include "state/pool/pool_plan.h"
+#include "transport/async_event.h"
+
+namespace hickorystall::coordination::pool {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using namespace state::pool;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using transport::BootNow;
+
+namespace {
+
+constexpr milliseconds kAnswerTimeout{1000};
+// Wait of the feeds of jobs and workers, which only change with events.
+constexpr milliseconds kFeedWait{5000};
+constexpr milliseconds kRetryPause{200};
+// Longest time between two passes: due times, leases and stuck tasks are looked at that often.
+constexpr milliseconds kTick{200};
+// Final jobs are kept for the users' 120 s and as long again as a client may take to ask.
+constexpr milliseconds kKeepFinal{150'000};
+
+}  // namespace
+
+pool_owner::pool_owner(pool_owner_parts parts, pool_settings settings, std::int64_t epoch,
+                       const asio::any_io_executor& executor)
+    : parts_(std::move(parts)),
+      executor_(executor),
+      state_(settings, epoch),
+      writer_(*parts_.store, *parts_.log, *parts_.owner, state_, executor),
+      wake_(executor),
+      registry_changed_(executor) {}
+
+void pool_owner::Spawn(asio::awaitable<void> work) {
+  asio::co_spawn(
+      executor_,
+      [self = shared_from_this(), work = std::move(work)]() mutable -> asio::awaitable<void> {
+        co_await std::move(work);
+      },
+      asio::detached);
+}
+
+void pool_owner::Start() { Spawn(Run()); }
+
+void pool_owner::Stop() {
+  stopped_ = true;
+  writer_.Stop();
+  wake_.Notify();
+  registry_changed_.Notify();
+}
+
+asio::awaitable<void> pool_owner::Run() {
+  while (!stopped_) {
+    const bool loaded = co_await Load();
+    if (loaded) break;
+    co_await transport::Sleep(kRetryPause);
+  }
+  if (stopped_) co_return;
+  Spawn(FollowJobs());
+  Spawn(FollowRegistry());
+  Spawn(RecordWorkers());
+  Spawn(writer_.Run());
+  Spawn(PlanLoop());
+}
+
+asio::awaitable<bool> pool_owner::Load() {
+  const boot_time begin = BootNow();
+  const bool has_jobs = co_await LoadJobs();
+  if (!has_jobs) co_return false;
+  const bool has_workers = co_await LoadWorkers();
+  if (!has_workers) co_return false;
+  state_.SetConfig(parts_.config->config());
+  parts_.log->Write("scheduler", "pool loaded",
+                    {{"epoch", std::to_string(state_.epoch())},
+                     {"jobs", std::to_string(state_.jobs().size())},
+                     {"workers", std::to_string(state_.workers().size())},
+                     {"took_ms", std::to_string((BootNow() - begin).count())}});
+  co_return true;
+}
+
+asio::awaitable<bool> pool_owner::LoadJobs() {
+  // Progress first: a job that comes in between is then told by the jobs table, with no progress yet.
+  const rows_result progress = co_await parts_.store->ReadRange(kProgressTable, "", "", kAnswerTimeout);
+  if (!progress.status.ok()) co_return false;
+  const rows_result jobs = co_await parts_.store->ReadRange(kJobsTable, "", "", kAnswerTimeout);
+  if (!jobs.status.ok()) co_return false;
+  std::map<std::string, const stored_row*> progress_rows;
+  for (const stored_row& row : progress.rows) progress_rows[row.key] = &row;
+  const boot_time now = BootNow();
+  const unix_time wall_now = parts_.wall_clock->At(now);
+  std::vector<std::string> cancelled;
+  for (const stored_row& row : jobs.rows) {
+    if (row.key.ends_with(kCancelSuffix)) {
+      cancelled.push_back(row.key.substr(0, row.key.size() - (sizeof(kCancelSuffix) - 1)));
+      continue;
+    }
+    absl::StatusOr<job_submission> submission = DecodeSubmission(row.key, row.value);
+    job_entry job;
+    absl::Status status = submission.status();
+    const auto stored = progress_rows.find(row.key);
+    if (status.ok()) {
+      job.submission = *std::move(submission);
+      job.row_version = stored == progress_rows.end() ? row.version : stored->second->version;
+      job.accepted_at = now - std::max(milliseconds(0), wall_now - job.submission.accepted_at);
+      if (stored != progress_rows.end()) status = RestoreProgress(stored->second->value, job);
+    }
+    if (!status.ok()) {
+      // An accepted job is never dropped: its rows stay for an operator.
+      parts_.log->Write("scheduler", "unreadable job",
+                        {{"id", row.key}, {"reason", std::string(status.message())}});
+      continue;
+    }
+    state_.AddJob(std::move(job), now);
+  }
+  for (const std::string& id : cancelled) state_.CancelJob(id, now);
+  jobs_position_ = jobs.version;
+  co_return true;
+}
+
+asio::awaitable<bool> pool_owner::LoadWorkers() {
+  const rows_result former =
+      co_await parts_.store->ReadRange(kOwnershipTable, kWorkersKey, "", kAnswerTimeout);
+  if (!former.status.ok()) co_return false;
+  const rows_result listed = co_await parts_.store->ReadRange(parts_.registry.table, "", "", kAnswerTimeout);
+  if (!listed.status.ok()) co_return false;
+  for (const stored_row& row : listed.rows) TakeRegistryRow(row);
+  registry_position_ = listed.version;
+  const milliseconds lease = state_.settings().worker_lease;
+  const auto tolerance = milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) *
+                                                                state_.settings().worker_clock_tolerance));
+  const boot_time bound = BootNow() + lease + tolerance + state_.settings().lease_margin;
+  for (const stored_row& row : former.rows) {
+    if (row.key != kWorkersKey) continue;
+    workers_version_ = row.version;
+    const json value = json::parse(row.value, nullptr, false);
+    if (!value.is_object()) continue;
+    for (const auto& [id, address] : value.items()) {
+      if (address.is_string()) state_.AddFormerWorker(id, address.get<std::string>(), bound);
+    }
+  }
+  co_return true;
+}
+
+void pool_owner::TakeJobRow(const stored_row& row) {
+  if (row.removed) return;
+  const boot_time now = BootNow();
+  if (row.key.ends_with(kCancelSuffix)) {
+    state_.CancelJob(row.key.substr(0, row.key.size() - (sizeof(kCancelSuffix) - 1)), now);
+    return;
+  }
+  absl::StatusOr<job_submission> submission = DecodeSubmission(row.key, row.value);
+  if (!submission.ok()) {
+    parts_.log->Write("scheduler", "unreadable job",
+                      {{"id", row.key}, {"reason", std::string(submission.status().message())}});
+    return;
+  }
+  job_entry job;
+  job.submission = *std::move(submission);
+  job.row_version = row.version;
+  const milliseconds age = parts_.wall_clock->At(now) - job.submission.accepted_at;
+  job.accepted_at = now - std::clamp(age, milliseconds(0), kFeedWait);
+  state_.AddJob(std::move(job), now);
+}
+
+void pool_owner::TakeRegistryRow(const stored_row& row) {
+  if (row.removed) {
+    state_.RemoveRegistration(row.key);
+    return;
+  }
+  const absl::StatusOr<worker_registration> registration = parts_.registry.decode(row);
+  if (!registration.ok()) {
+    parts_.log->Write("scheduler", "unreadable registration",
+                      {{"worker", row.key}, {"reason", std::string(registration.status().message())}});
+    return;
+  }
+  state_.SetRegistration(*registration, BootNow());
+}
+
+asio::awaitable<void> pool_owner::FollowJobs() {
+  while (!stopped_) {
+    const rows_result result =
+        co_await parts_.store->Follow(kJobsTable, jobs_position_, kFeedWait, kAnswerTimeout);
+    if (stopped_) co_return;
+    if (result.status.ok()) {
+      for (const stored_row& row : result.rows) TakeJobRow(row);
+      jobs_position_ = result.version;
+      if (!result.rows.empty()) Wake();
+      continue;
+    }
+    if (absl::IsOutOfRange(result.status)) {
+      const rows_result all = co_await parts_.store->ReadRange(kJobsTable, "", "", kAnswerTimeout);
+      if (stopped_) co_return;
+      if (all.status.ok()) {
+        // Cancellations sort behind their job.
+        for (const stored_row& row : all.rows) TakeJobRow(row);
+        jobs_position_ = all.version;
+        Wake();
+        continue;
+      }
+    }
+    co_await transport::Sleep(kRetryPause);
+  }
+}
+
+asio::awaitable<void> pool_owner::FollowRegistry() {
+  while (!stopped_) {
+    const rows_result result =
+        co_await parts_.store->Follow(parts_.registry.table, registry_position_, kFeedWait, kAnswerTimeout);
+    if (stopped_) co_return;
+    if (result.status.ok()) {
+      for (const stored_row& row : result.rows) TakeRegistryRow(row);
+      registry_position_ = result.version;
+      if (!result.rows.empty()) {
+        registry_changed_.Notify();
+        Wake();
+      }
+      continue;
+    }
+    if (absl::IsOutOfRange(result.status)) {
+      const rows_result all = co_await parts_.store->ReadRange(parts_.registry.table, "", "", kAnswerTimeout);
+      if (stopped_) co_return;
+      if (all.status.ok()) {
+        std::set<std::string> present;
+        for (const stored_row& row : all.rows) {
+          present.insert(row.key);
+          TakeRegistryRow(row);
+        }
+        std::vector<std::string> gone;
+        for (const auto& [id, worker] : state_.workers()) {
+          if (worker.listed && !present.contains(id)) gone.push_back(id);
+        }
+        for (const std::string& id : gone) state_.RemoveRegistration(id);
+        registry_position_ = all.version;
+        registry_changed_.Notify();
+        Wake();
+        continue;
+      }
+    }
+    co_await transport::Sleep(kRetryPause);
+  }
+}
+
+// Stores the ids of new workers before they get orders, so that a later owner asks each of them what runs
+// there.
+asio::awaitable<void> pool_owner::RecordWorkers() {
+  while (!stopped_) {
+    json value = json::object();
+    std::vector<std::string> unrecorded;
+    for (const auto& [id, worker] : state_.workers()) {
+      value[id] = worker.registration.address;
+      if (!worker.recorded) unrecorded.push_back(id);
+    }
+    if (unrecorded.empty()) {
+      co_await registry_changed_.Wait(kFeedWait);
+      continue;
+    }
+    store_transaction transaction;
+    transaction.conditions = {{kOwnershipTable, kEpochKey, parts_.owner->epoch_version()},
+                              {kOwnershipTable, kWorkersKey, workers_version_}};
+    transaction.changes = {{kOwnershipTable, kWorkersKey, value.dump()}};
+    const transaction_result result = co_await parts_.store->Apply(std::move(transaction), kAnswerTimeout);
+    if (stopped_) co_return;
+    if (result.outcome == transaction_outcome::kDone) {
+      workers_version_ = result.version;
+      for (const std::string& id : unrecorded) state_.MarkRecorded(id);
+      Wake();
+      continue;
+    }
+    for (const stored_row& row : result.current) {
+      if (row.key == kWorkersKey) workers_version_ = row.version;
+    }
+    co_await transport::Sleep(kRetryPause);
+  }
+}
+
+asio::awaitable<void> pool_owner::PlanLoop() {
+  while (!stopped_) {
+    PlanOnce();
+    co_await wake_.Wait(kTick);
+  }
+}
+
+void pool_owner::PlanOnce() {
+  const boot_time now = BootNow();
+  state_.SetConfig(parts_.config->config());
+  state_.ExpireLeases(now);
+  for (const std::string& id : state_.ForgetJobs(now - kKeepFinal)) writer_.Remove(id);
+  const unix_time wall_now = parts_.wall_clock->At(now);
+  state_.MakeDueOccurrences(now, wall_now);
+  if (MayOrder()) {
+    const pool_plan plan = PlanPool(state_, now, wall_now);
+    for (const planned_stop& stop : plan.stops) state_.StopUnit(stop.position, stop.reason);
+    for (const planned_start& start : plan.starts) state_.StartUnit(start.position, start.workers, now);
+  }
+  StartSessions();
+  DispatchOrders();
+  LogEvents();
+  writer_.Notify();
+}
+
+void pool_owner::StartSessions() {
+  for (const auto& [id, worker] : state_.workers()) {
+    if (NeedsSession(worker) && sessions_.insert(id).second) Spawn(RunSession(id));
+  }
+}
+
+void pool_owner::DispatchOrders() {
+  for (worker_order& order : state_.TakeOrders()) {
+    Spawn(order.is_start ? SendStart(std::move(order)) : SendStop(std::move(order)));
+  }
+}
+
+void pool_owner::LogEvents() {
+  for (const pool_event& event : state_.TakeEvents()) {
+    log_fields fields;
+    if (!event.job.empty()) fields.emplace_back("id", event.job);
+    if (!event.task.empty()) fields.emplace_back("task", event.task);
+    if (event.run != 0) fields.emplace_back("run", std::to_string(event.run));
+    if (!event.worker.empty()) fields.emplace_back("worker", event.worker);
+    if (!event.reason.empty()) fields.emplace_back("reason", event.reason);
+    parts_.log->Write("scheduler", PoolEventName(event.kind), fields);
+  }
+}
+
+}  // namespace hickorystall::coordination::pool
--- /dev/null
+++ b/src/coordination/pool/pool_owner.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "coordination/pool/config_follower.h"
+#include "coordination/pool/event_log.h"
+#include "coordination/pool/ownership.h"
+#include "coordination/pool/pool_store.h"
+#include "coordination/pool/progress_writer.h"
+#include "coordination/pool/worker_orders.h"
+#include "state/pool/pool_state.h"
+#include "transport/boot_clock.h"
+#include "transport/wake_signal.h"
+
+namespace hickorystall::coordination::pool {
+
+/// Where workers register and how an entry is read. An unreadable one names no worker.
+struct registry_source {
+  std::string table;
+  std::function<absl::StatusOr<state::pool::worker_registration>(const stored_row&)> decode;
+};
+
+/// What an owner works with. All must outlive it.
+struct pool_owner_parts {
+  pool_store* store = nullptr;
+  worker_orders* orders = nullptr;
+  ownership* owner = nullptr;
+  config_follower* config = nullptr;
+  event_log* log = nullptr;
+  const transport::smoothed_wall_clock* wall_clock = nullptr;
+  registry_source registry;
+};
+
+/// Decides for the pool under one ownership: learns what is stored and what runs, plans, gives orders to the
+/// workers, renews their leases and stores what ended. It gives no order without authority.
+class pool_owner : public std::enable_shared_from_this<pool_owner> {
+ public:
+  pool_owner(pool_owner_parts parts, state::pool::pool_settings settings, std::int64_t epoch,
+             const boost::asio::any_io_executor& executor);
+
+  /// Loads the pool and starts all loops, which end after Stop.
+  void Start();
+  /// Ends all loops. No order is sent afterwards.
+  void Stop();
+  /// Plans soon.
+  void Wake() { wake_.Notify(); }
+  /// The tables, for dumps and tests.
+  const state::pool::pool_state& state() const { return state_; }
+
+ private:
+  // True while there is something to learn from, or to renew on, `worker`.
+  static bool NeedsSession(const state::pool::worker_entry& worker);
+  bool MayOrder() const { return !stopped_ && parts_.owner->HasAuthority(); }
+  boost::asio::awaitable<void> Run();
+  boost::asio::awaitable<bool> Load();
+  boost::asio::awaitable<bool> LoadJobs();
+  boost::asio::awaitable<bool> LoadWorkers();
+  boost::asio::awaitable<void> FollowJobs();
+  boost::asio::awaitable<void> FollowRegistry();
+  boost::asio::awaitable<void> RecordWorkers();
+  boost::asio::awaitable<void> PlanLoop();
+  boost::asio::awaitable<void> RunSession(std::string worker);
+  boost::asio::awaitable<bool> RenewWorker(std::string worker);
+  boost::asio::awaitable<void> SendStart(state::pool::worker_order order);
+  boost::asio::awaitable<void> SendStop(state::pool::worker_order order);
+  void TakeJobRow(const stored_row& row);
+  void TakeRegistryRow(const stored_row& row);
+  void PlanOnce();
+  void StartSessions();
+  void DispatchOrders();
+  void LogEvents();
+  void TakeReply(const std::string& worker, const order_reply& reply);
+  order_address AddressOf(const state::pool::worker_entry& worker) const;
+  void Spawn(boost::asio::awaitable<void> work);
+
+  const pool_owner_parts parts_;
+  const boost::asio::any_io_executor executor_;
+  state::pool::pool_state state_;
+  progress_writer writer_;
+  transport::wake_signal wake_;
+  transport::wake_signal registry_changed_;
+  std::int64_t jobs_position_ = 0;
+  std::int64_t registry_position_ = 0;
+  // Version of the row that lists the workers.
+  std::int64_t workers_version_ = 0;
+  // Workers that have a session.
+  std::set<std::string> sessions_;
+  state::pool::boot_time sampled_at_{};
+  bool stopped_ = false;
+};
+
+}  // namespace hickorystall::coordination::pool
--- /dev/null
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -0,0 +1,174 @@
+// Part of pool_owner: orders to workers and their answers.
+#include <absl/strings/str_cat.h>
+
+#include "coordination/pool/pool_owner.h"
+#include "transport/async_event.h"
+
+namespace hickorystall::coordination::pool {
+
+namespace asio = boost::asio;
+using namespace state::pool;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using transport::BootNow;
+
+namespace {
+
+// Time for an answer of a worker; it answers within a few milliseconds of the network's delay.
+constexpr milliseconds kOrderTimeout{400};
+// Longest wait of a renewal for an end. Also the age of what is known of progress, and a sixth of the lease.
+constexpr milliseconds kRenewWait{1000};
+// Pause between calls to a worker that does not answer.
+constexpr milliseconds kSilentPause{400};
+// Pause after an order that was not answered.
+constexpr milliseconds kOrderRetryPause{100};
+// Time for the store to take ends before the worker's lists are read again without acknowledging them.
+constexpr milliseconds kStoreWait{500};
+
+}  // namespace
+
+order_address pool_owner::AddressOf(const worker_entry& worker) const {
+  return {worker.registration.address, worker.registration.id, state_.epoch()};
+}
+
+void pool_owner::TakeReply(const std::string& worker, const order_reply& reply) {
+  if (reply.clock) state_.TakeClock(worker, *reply.clock, BootNow());
+  if (reply.outcome == order_outcome::kFenced) {
+    Stop();
+    parts_.owner->Lose(absl::StrCat("worker ", worker, " has seen a later owner"));
+  }
+}
+
+bool pool_owner::NeedsSession(const worker_entry& worker) {
+  return !worker.synced || !worker.tasks.empty() || !worker.unaccounted.empty();
+}
+
+// Keeps in touch with one worker while it has work: reads its lists, acknowledges ends, renews its lease.
+asio::awaitable<void> pool_owner::RunSession(std::string id) {
+  while (!stopped_) {
+    const worker_entry* worker = state_.FindWorker(id);
+    if (worker == nullptr || !NeedsSession(*worker)) break;
+    if (!MayOrder()) {
+      co_await transport::Sleep(kOrderRetryPause);
+      continue;
+    }
+    const bool answered = co_await RenewWorker(id);
+    if (!answered) co_await transport::Sleep(kSilentPause);
+  }
+  sessions_.erase(id);
+}
+
+asio::awaitable<bool> pool_owner::RenewWorker(std::string id) {
+  worker_entry* worker = state_.FindWorker(id);
+  const bool was_reachable = worker->reachable;
+  const std::int64_t born = worker->registration.born;
+  std::optional<worker_time> deadline;
+  // A silent worker gets no new lease: its bound must come, so that its tasks can start elsewhere.
+  if (was_reachable && worker->synced && !worker->tasks.empty()) deadline = state_.GiveLease(id, BootNow());
+  const milliseconds wait = was_reachable && worker->synced ? kRenewWait : milliseconds(0);
+  const std::int64_t order = state_.NextOrder();
+  const order_address address = AddressOf(*worker);
+  const std::int64_t acknowledged = worker->acknowledged_end;
+  lists_reply reply = co_await parts_.orders->Renew(address, acknowledged, deadline, wait, kOrderTimeout);
+  if (stopped_) co_return false;
+  worker = state_.FindWorker(id);
+  if (worker == nullptr) co_return false;
+  if (reply.outcome == order_outcome::kFenced) {
+    Stop();
+    parts_.owner->Lose(absl::StrCat("worker ", id, " has seen a later owner"));
+    co_return false;
+  }
+  if (reply.outcome != order_outcome::kDone) {
+    state_.TakeSilence(id, BootNow());
+    co_return false;
+  }
+  const bool is_same_life = reply.lists.born == born || born == 0;
+  const std::int64_t highest = state_.TakeLists(id, reply.lists, order, BootNow());
+  Wake();
+  if (highest > acknowledged || !is_same_life) {
+    const bool stored = co_await writer_.WaitStored(kStoreWait);
+    if (stored && !stopped_) {
+      worker = state_.FindWorker(id);
+      if (worker != nullptr && worker->registration.born == reply.lists.born) {
+        worker->acknowledged_end = std::max(worker->acknowledged_end, highest);
+      }
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<void> pool_owner::SendStart(worker_order order) {
+  const boot_time give_up = BootNow() + state_.settings().gang_timeout;
+  const worker_entry* worker = state_.FindWorker(order.worker);
+  if (worker == nullptr || !MayOrder()) {
+    state_.TakeStartAnswer(order.task, order.run, start_answer::kRefused, BootNow());
+    co_return;
+  }
+  const order_address address = AddressOf(*worker);
+  // Repetitions keep the deadline, so that they do not move the bound of the lease.
+  const worker_time deadline = state_.GiveLease(order.worker, BootNow());
+  bool is_doubtful = false;
+  while (!stopped_ && state_.IsOrderDue(order)) {
+    order_reply reply;
+    reply.outcome = order_outcome::kNotSent;
+    if (MayOrder()) {
+      reply = co_await parts_.orders->Start(address, order.task, order.run, order.payload, order.checkpoint,
+                                            deadline, kOrderTimeout);
+    }
+    if (stopped_) co_return;
+    TakeReply(order.worker, reply);
+    if (stopped_) co_return;
+    is_doubtful = is_doubtful || reply.outcome == order_outcome::kNoAnswer;
+    const bool is_open =
+        reply.outcome == order_outcome::kNoAnswer || reply.outcome == order_outcome::kNotSent;
+    if (!is_open) {
+      const bool refused = reply.outcome != order_outcome::kDone;
+      if (refused) {
+        parts_.log->Write("scheduler", "start answer",
+                          {{"task", order.task},
+                           {"run", std::to_string(order.run)},
+                           {"worker", order.worker},
+                           {"outcome", std::string(OrderOutcomeName(reply.outcome))},
+                           {"reason", reply.reason}});
+      }
+      // An earlier try without an answer may still be carried out, so only a stop settles the run.
+      const start_answer answer = !refused      ? start_answer::kAccepted
+                                  : is_doubtful ? start_answer::kNoAnswer
+                                  : reply.outcome == order_outcome::kUnhealthy
+                                      ? start_answer::kWorkerUnhealthy
+                                      : start_answer::kRefused;
+      state_.TakeStartAnswer(order.task, order.run, answer, BootNow());
+      Wake();
+      co_return;
+    }
+    if (BootNow() >= give_up) {
+      state_.TakeStartAnswer(order.task, order.run,
+                             is_doubtful ? start_answer::kNoAnswer : start_answer::kRefused, BootNow());
+      Wake();
+      co_return;
+    }
+    co_await transport::Sleep(kOrderRetryPause);
+  }
+}
+
+asio::awaitable<void> pool_owner::SendStop(worker_order order) {
+  while (!stopped_ && state_.IsOrderDue(order)) {
+    const worker_entry* worker = state_.FindWorker(order.worker);
+    if (worker == nullptr) co_return;
+    if (!MayOrder()) {
+      co_await transport::Sleep(kOrderRetryPause);
+      continue;
+    }
+    const order_address address = AddressOf(*worker);
+    const order_reply reply = co_await parts_.orders->Stop(address, order.task, order.run, kOrderTimeout);
+    if (stopped_) co_return;
+    TakeReply(order.worker, reply);
+    if (stopped_) co_return;
+    if (reply.outcome == order_outcome::kDone) {
+      state_.TakeStopAnswer(order.worker, order.task, order.run);
+      co_return;
+    }
+    co_await transport::Sleep(kSilentPause);
+  }
+}
+
+}  // namespace hickorystall::coordination::pool
--- a/src/state/error_kind.cpp
+++ b/src/state/error_kind.cpp
@@ -41,6 +41,7 @@
     error_answer{error_kind::kCancelled, "cancelled", 409, execution::kNo, kNever},
     error_answer{error_kind::kDeadlineExceeded, "deadline_exceeded", 504, execution::kUnknown, kNever},
     error_answer{error_kind::kNotReady, "not_ready", 503, execution::kNo, milliseconds{1000}},
+    error_answer{error_kind::kJobUnknown, "job_unknown", 410, execution::kNo, kNever},
     error_answer{error_kind::kInternal, "internal", 500, execution::kUnknown, kNever},
 };
 
--- a/src/state/error_kind.h
+++ b/src/state/error_kind.h
@@ -33,6 +33,7 @@
   kCancelled,
   kDeadlineExceeded,
   kNotReady,
+  kJobUnknown,
   kInternal,
 };
 
--- /dev/null
+++ b/src/state/pool/pool_plan.cpp
@@ -0,0 +1,264 @@
+#include "state/pool/pool_plan.h"
+
+#include <algorithm>
+#include <set>
+
+#include "state/pool/preemption.h"
+#include "state/pool/unit_placement.h"
+#include "state/pool/unit_queue.h"
+
+namespace hickorystall::state::pool {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// A task whose progress has not moved for this long, while its worker answers, stands still. Progress comes
+// in percent; the longest task of the sites moves one percent in 0.4 s, on a slowed worker in 2.3 s.
+constexpr milliseconds kStuckAfter{3000};
+
+// One pass over the pool.
+class planning_pass {
+ public:
+  planning_pass(const pool_state& state, boot_time now, unix_time wall_now)
+      : state_(state), now_(now), wall_now_(wall_now) {
+    for (const auto& [id, worker] : state.workers()) {
+      if (!worker.IsUsable(now)) continue;
+      slot_of_[id] = static_cast<int>(free_.size());
+      free_.push_back({&worker, worker.Free()});
+    }
+    soon_ = free_;
+    CollectUnits();
+  }
+
+  pool_plan Run() {
+    StopOnLeavingWorkers();
+    if (!state_.KnowsAllRuns()) return plan_;
+    std::set<unit_position> refused_steps;
+    for (const waiting_unit& unit : MakeUnitQueue(state_, now_, wall_now_)) {
+      // Units of one step are alike: where one found no place, the others find none.
+      unit_position step = unit.position;
+      step.unit = 0;
+      if (refused_steps.contains(step)) {
+        ++plan_.waiting;
+        continue;
+      }
+      if (Consider(unit)) continue;
+      ++plan_.waiting;
+      refused_steps.insert(step);
+    }
+    return plan_;
+  }
+
+ private:
+  struct running_unit {
+    unit_position position;
+    const job_entry* job;
+    const step_request* step;
+    const work_unit* unit;
+    int priority;
+  };
+
+  // Adds what is being stopped to `soon_`, and notes what runs.
+  void CollectUnits() {
+    for (const auto& [id, job] : state_.jobs()) {
+      const int priority = QueuePriority(state_, job);
+      for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+          const auto& units = occurrence.steps[step].units;
+          for (std::size_t unit = 0; unit < units.size(); ++unit) {
+            if (units[unit].IsIdle()) continue;
+            const running_unit entry{{id, number, static_cast<int>(step), static_cast<int>(unit)},
+                                     &job,
+                                     &job.submission.request.steps[step],
+                                     &units[unit],
+                                     priority};
+            CollectUnit(entry);
+          }
+        }
+      }
+    }
+  }
+
+  void CollectUnit(const running_unit& entry) {
+    bool stopping = entry.unit->done;
+    for (const unit_member& member : entry.unit->members) {
+      if (member.phase != run_phase::kStopping && !(entry.unit->done && member.phase != run_phase::kIdle))
+        continue;
+      stopping = true;
+      const auto slot = slot_of_.find(member.worker);
+      if (slot != slot_of_.end()) soon_[slot->second].free += entry.step->need;
+    }
+    if (!stopping) running_.push_back(entry);
+  }
+
+  // Stops units that cannot end before their worker leaves, and those that stand still.
+  void StopOnLeavingWorkers() {
+    for (const running_unit& entry : running_) {
+      std::string reason;
+      for (const unit_member& member : entry.unit->members) {
+        if (member.phase == run_phase::kIdle) continue;
+        const worker_entry& worker = state_.workers().at(member.worker);
+        if (MustLeave(entry, member, worker)) reason = "worker leaves";
+        if (IsStuck(member, worker)) reason = "no progress";
+      }
+      if (reason.empty()) continue;
+      plan_.stops.push_back({entry.position, reason});
+      stopped_.insert(entry.position);
+    }
+  }
+
+  bool MustLeave(const running_unit& entry, const unit_member& member, const worker_entry& worker) const {
+    if (!worker.registration.draining || !worker.leaves_at) return false;
+    return now_ + RemainingTime(entry, member) > *worker.leaves_at;
+  }
+
+  bool IsStuck(const unit_member& member, const worker_entry& worker) const {
+    return member.phase == run_phase::kRunning && worker.reachable &&
+           worker.clock_read_at - member.progress_at > kStuckAfter;
+  }
+
+  milliseconds RemainingTime(const running_unit& entry, const unit_member& member) const {
+    const milliseconds ran = now_ - entry.unit->started_at;
+    // Below this share the rate is too coarse to extrapolate.
+    constexpr int kLeastPercent = 5;
+    if (member.percent < kLeastPercent) return std::max(milliseconds(0), entry.step->estimate - ran);
+    return ran * (100 - member.percent) / member.percent;
+  }
+
+  unit_shape MakeShape(const waiting_unit& entry) const {
+    unit_shape shape;
+    shape.step = entry.step;
+    shape.service = Service(*entry.job);
+    shape.members = static_cast<int>(entry.unit->members.size());
+    shape.avoided = entry.unit->failed_on;
+    if (entry.step->max_per_worker == 0) return shape;
+    const auto& step = entry.job->occurrences.at(entry.position.occurrence).steps[entry.position.step];
+    for (const work_unit& unit : step.units) {
+      for (const unit_member& member : unit.members) {
+        if (member.phase != run_phase::kIdle) ++shape.already_on[member.worker];
+      }
+    }
+    for (const auto& [position, worker] : placed_now_) {
+      if (position.job == entry.position.job && position.occurrence == entry.position.occurrence &&
+          position.step == entry.position.step) {
+        ++shape.already_on[worker];
+      }
+    }
+    return shape;
+  }
+
+  std::string_view Service(const job_entry& job) const {
+    const queue_rules* rules =
+        state_.config() == nullptr ? nullptr : state_.config()->FindQueueByName(job.submission.queue);
+    return rules == nullptr ? job.submission.service : rules->service;
+  }
+
+  // Starts `entry`, or reserves capacity that comes free for it. False when it finds no place.
+  bool Consider(const waiting_unit& entry) {
+    const unit_shape shape = MakeShape(entry);
+    const placement_reach reach = Reach(entry, shape);
+    if (const auto places = PlaceUnit(free_, shape, reach)) {
+      Start(entry, *places);
+      return true;
+    }
+    if (const auto places = PlaceUnit(soon_, shape, reach)) {
+      Reserve(*entry.step, *places);
+      return true;
+    }
+    return entry.priority == 0 && entry.prospect != job_prospect::kHopeless && Preempt(entry, shape, reach);
+  }
+
+  // Far placement is right when a near one is impossible, or when waiting has cost as much as distance would.
+  placement_reach Reach(const waiting_unit& entry, const unit_shape& shape) const {
+    const bool bound = entry.step->same_rack || !entry.step->data_rack.empty();
+    if (!bound) return placement_reach::kAnywhere;
+    if (!FitsNearWhenEmpty(free_, shape)) return placement_reach::kAnywhere;
+    const auto waited = now_ - entry.unit->ready_at;
+    const auto extra =
+        static_cast<double>(entry.step->estimate.count()) * (state_.settings().far_factor - 1.0);
+    return static_cast<double>(waited.count()) > extra ? placement_reach::kAnywhere : placement_reach::kNear;
+  }
+
+  void Start(const waiting_unit& entry, const std::vector<int>& places) {
+    planned_start start{entry.position, {}};
+    for (const int place : places) {
+      start.workers.push_back(free_[place].worker->registration.id);
+      placed_now_.emplace_back(entry.position, start.workers.back());
+      free_[place].free -= entry.step->need;
+      soon_[place].free -= entry.step->need;
+    }
+    plan_.starts.push_back(std::move(start));
+  }
+
+  void Reserve(const step_request& step, const std::vector<int>& places) {
+    for (const int place : places) {
+      soon_[place].free -= step.need;
+      // What is free now stays free for the unit; a part of its place may still be held by others.
+      resources& free = free_[place].free;
+      free.cpu_millis = std::min(free.cpu_millis, std::max<std::int64_t>(0, soon_[place].free.cpu_millis));
+      free.memory_mib = std::min(free.memory_mib, std::max<std::int64_t>(0, soon_[place].free.memory_mib));
+      free.accelerators =
+          std::min(free.accelerators, std::max<std::int64_t>(0, soon_[place].free.accelerators));
+    }
+  }
+
+  bool IsVictim(const running_unit& running, const waiting_unit& entry) const {
+    if (running.job == entry.job || stopped_.contains(running.position)) return false;
+    if (running.priority > entry.priority) return true;
+    if (!entry.is_guaranteed) return false;
+    const std::set<std::string> within = WorkspacesWithinGuarantee(state_);
+    return !within.contains(running.job->submission.workspace);
+  }
+
+  bool Preempt(const waiting_unit& entry, const unit_shape& shape, placement_reach reach) {
+    std::vector<preemption_victim> victims;
+    for (const running_unit& running : running_) {
+      if (!IsVictim(running, entry)) continue;
+      preemption_victim victim{
+          running.position, running.step, {}, LostWork(*running.step, *running.unit, now_)};
+      for (const unit_member& member : running.unit->members) {
+        const auto slot = slot_of_.find(member.worker);
+        if (member.phase != run_phase::kIdle && slot != slot_of_.end()) victim.slots.push_back(slot->second);
+      }
+      victims.push_back(std::move(victim));
+    }
+    std::optional<preemption_choice> choice = ChoosePreemption(soon_, shape, victims, reach);
+    if (!choice && entry.is_guaranteed) {
+      choice = ChoosePreemption(soon_, shape, victims, placement_reach::kAnywhere);
+    }
+    if (!choice) return false;
+    for (const int index : choice->victims) {
+      const preemption_victim& victim = victims[index];
+      plan_.stops.push_back({victim.position, "preempted by " + entry.position.job});
+      stopped_.insert(victim.position);
+      for (const int slot : victim.slots) soon_[slot].free += victim.step->need;
+    }
+    Reserve(*entry.step, choice->places);
+    return true;
+  }
+
+  const pool_state& state_;
+  const boot_time now_;
+  const unix_time wall_now_;
+  // Slot index by worker id.
+  std::map<std::string, int> slot_of_;
+  // Capacity that is free now, and that is free once all that is being stopped has gone.
+  capacity_slots free_;
+  capacity_slots soon_;
+  // Units that run and are not being stopped.
+  std::vector<running_unit> running_;
+  // Units that this pass stops.
+  std::set<unit_position> stopped_;
+  // Members that this pass starts, for the limit a worker.
+  std::vector<std::pair<unit_position, std::string>> placed_now_;
+  pool_plan plan_;
+};
+
+}  // namespace
+
+pool_plan PlanPool(const pool_state& state, boot_time now, unix_time wall_now) {
+  return planning_pass(state, now, wall_now).Run();
+}
+
+}  // namespace hickorystall::state::pool
--- /dev/null
+++ b/src/state/pool/pool_state.cpp
@@ -0,0 +1,298 @@
+#include "state/pool/pool_state.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace hickorystall::state::pool {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// Starts of one task under one owner stay below this number, so that a later owner's numbers are higher
+// without a write a start. The first owner begins at 1.
+constexpr std::int64_t kRunsPerEpoch = 1'000'000;
+
+}  // namespace
+
+pool_state::pool_state(pool_settings settings, std::int64_t epoch) : settings_(settings), epoch_(epoch) {}
+
+void pool_state::AddEvent(pool_event_kind kind, const std::string& job, const std::string& task,
+                          std::int64_t run, const std::string& worker, std::string reason) {
+  events_.push_back({kind, job, task, run, worker, std::move(reason)});
+}
+
+void pool_state::MarkChanged(const job_entry& job, bool urgent) {
+  changed_.insert(job.submission.id);
+  urgent_change_ = urgent_change_ || urgent;
+}
+
+worker_entry* pool_state::FindWorker(const std::string& id) {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+work_unit* pool_state::FindUnit(const unit_position& position) {
+  const auto job = jobs_.find(position.job);
+  if (job == jobs_.end()) return nullptr;
+  const auto occurrence = job->second.occurrences.find(position.occurrence);
+  if (occurrence == job->second.occurrences.end()) return nullptr;
+  auto& steps = occurrence->second.steps;
+  if (position.step >= static_cast<int>(steps.size())) return nullptr;
+  auto& units = steps[position.step].units;
+  return position.unit < static_cast<int>(units.size()) ? &units[position.unit] : nullptr;
+}
+
+std::optional<pool_state::task_place> pool_state::FindTask(const std::string& task) {
+  const std::optional<task_name_parts> parts = ParseTaskName(task);
+  if (!parts) return std::nullopt;
+  const auto job = jobs_.find(parts->job);
+  if (job == jobs_.end()) return std::nullopt;
+  const auto& steps = job->second.submission.request.steps;
+  if (parts->step >= static_cast<int>(steps.size())) return std::nullopt;
+  const step_request& step = steps[parts->step];
+  if (parts->index >= step.task_count) return std::nullopt;
+  task_place place;
+  place.job = &job->second;
+  place.step = &step;
+  place.position = {parts->job, parts->occurrence, parts->step, step.gang ? 0 : parts->index};
+  place.unit = FindUnit(place.position);
+  if (place.unit == nullptr) return std::nullopt;
+  place.member = &place.unit->members[step.gang ? parts->index : 0];
+  return place;
+}
+
+int pool_state::MaxAttempts(const job_entry& job) const {
+  const queue_rules* rules = config_ == nullptr ? nullptr : config_->FindQueueByName(job.submission.queue);
+  return rules == nullptr ? job.submission.max_attempts : rules->max_attempts;
+}
+
+bool pool_state::KnowsAllRuns() const {
+  return std::none_of(workers_.begin(), workers_.end(),
+                      [](const auto& worker) { return worker.second.may_run_unknown; });
+}
+
+void pool_state::AddJob(job_entry job, boot_time now) {
+  const std::string id = job.submission.id;
+  const auto [found, is_new] = jobs_.emplace(id, std::move(job));
+  if (!is_new) return;
+  job_entry& entry = found->second;
+  for (auto& [number, occurrence] : entry.occurrences) {
+    ReadySteps(entry.submission.request, occurrence, now);
+  }
+  if (IsFinal(entry.phase) && !entry.final_at) entry.final_at = now;
+  AddEvent(pool_event_kind::kJobAdded, id, "", 0, "", std::string(JobPhaseName(entry.phase)));
+}
+
+void pool_state::CancelJob(const std::string& id, boot_time now) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end() || IsFinal(found->second.phase)) return;
+  FinishJob(found->second, job_phase::kCancelled, now);
+}
+
+void pool_state::FinishJob(job_entry& job, job_phase phase, boot_time now) {
+  job.phase = phase;
+  job.final_at = now;
+  StopJob(job);
+  MarkChanged(job, true);
+  const pool_event_kind kind = phase == job_phase::kCompleted ? pool_event_kind::kJobCompleted
+                               : phase == job_phase::kFailed  ? pool_event_kind::kJobFailed
+                                                              : pool_event_kind::kJobCancelled;
+  const auto age = now - job.accepted_at;
+  AddEvent(kind, job.submission.id, "", 0, "", "age_ms=" + std::to_string(age.count()));
+}
+
+void pool_state::StopJob(job_entry& job) {
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      for (std::size_t unit = 0; unit < occurrence.steps[step].units.size(); ++unit) {
+        if (occurrence.steps[step].units[unit].IsIdle()) continue;
+        const unit_position position{job.submission.id, number, static_cast<int>(step),
+                                     static_cast<int>(unit)};
+        StopUnit(position, "job ended");
+      }
+    }
+  }
+}
+
+std::vector<std::string> pool_state::ForgetJobs(boot_time limit) {
+  std::vector<std::string> forgotten;
+  for (auto job = jobs_.begin(); job != jobs_.end();) {
+    if (job->second.final_at && *job->second.final_at < limit && !job->second.HasActiveUnits()) {
+      forgotten.push_back(job->first);
+      job = jobs_.erase(job);
+    } else {
+      ++job;
+    }
+  }
+  return forgotten;
+}
+
+void pool_state::MakeDueOccurrences(boot_time now, unix_time wall_now) {
+  for (auto& [id, job] : jobs_) {
+    if (IsFinal(job.phase)) continue;
+    const job_request& request = job.submission.request;
+    const int count = std::max(1, request.occurrences);
+    for (int k = 0; k < count; ++k) {
+      if (job.finished_occurrences.contains(k) || job.occurrences.contains(k)) continue;
+      const unix_time due{request.first_due + k * request.interval};
+      if (request.occurrences > 0 && wall_now < due) break;
+      occurrence_progress& occurrence = job.occurrences[k] = MakeOccurrence(request);
+      ReadySteps(request, occurrence, now);
+    }
+  }
+}
+
+void pool_state::ReadySteps(const job_request& request, occurrence_progress& occurrence, boot_time now) {
+  for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+    step_progress& step = occurrence.steps[i];
+    const auto& after = request.steps[i].after;
+    const bool ready = std::all_of(after.begin(), after.end(), [&occurrence](int earlier) {
+      return occurrence.steps[earlier].open_units == 0;
+    });
+    if (!ready || step.ready) continue;
+    step.ready = true;
+    for (work_unit& unit : step.units) unit.ready_at = now;
+  }
+}
+
+std::vector<worker_order> pool_state::TakeOrders() { return std::exchange(orders_, {}); }
+std::vector<pool_event> pool_state::TakeEvents() { return std::exchange(events_, {}); }
+std::set<std::string> pool_state::TakeChangedJobs() {
+  urgent_change_ = false;
+  return std::exchange(changed_, {});
+}
+
+bool pool_state::IsOrderDue(const worker_order& order) const {
+  const auto worker = workers_.find(order.worker);
+  if (worker == workers_.end()) return false;
+  if (!order.is_start && worker->second.unaccounted.contains(order.task)) return true;
+  const std::optional<task_place> place = const_cast<pool_state*>(this)->FindTask(order.task);
+  if (!place || place->unit->last_run != order.run || place->member->worker != order.worker) return false;
+  if (order.is_start) return place->member->phase == run_phase::kOrdered && !place->member->confirmed;
+  return place->member->phase == run_phase::kStopping && !place->member->stop_confirmed;
+}
+
+void pool_state::Occupy(const task_place& place, worker_entry& worker, run_phase phase) {
+  assert(place.member->phase == run_phase::kIdle);
+  const std::string task =
+      TaskName(place.position.job, place.position.occurrence, place.position.step,
+               place.unit->first_task + static_cast<int>(place.member - place.unit->members.data()));
+  *place.member = unit_member{};
+  place.member->phase = phase;
+  place.member->worker = worker.registration.id;
+  worker.used += place.step->need;
+  worker.tasks.insert(task);
+}
+
+void pool_state::Release(const task_place& place) {
+  if (place.member->phase == run_phase::kIdle) return;
+  const int index = place.unit->first_task + static_cast<int>(place.member - place.unit->members.data());
+  worker_entry* worker = FindWorker(place.member->worker);
+  assert(worker != nullptr);
+  worker->used -= place.step->need;
+  worker->tasks.erase(TaskName(place.position.job, place.position.occurrence, place.position.step, index));
+  *place.member = unit_member{};
+}
+
+void pool_state::StartUnit(const unit_position& position, const std::vector<std::string>& workers,
+                           boot_time now) {
+  work_unit* unit = FindUnit(position);
+  assert(unit != nullptr && unit->IsIdle() && !unit->done && workers.size() == unit->members.size());
+  job_entry& job = jobs_.at(position.job);
+  const step_request& step = job.submission.request.steps[position.step];
+  unit->last_run = std::max(unit->last_run + 1, (epoch_ - 1) * kRunsPerEpoch + 1);
+  unit->started_at = now;
+  unit->checkpoint_at = now;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    worker_entry& worker = workers_.at(workers[i]);
+    Occupy({&job, position, unit, &unit->members[i], &step}, worker, run_phase::kOrdered);
+    unit->members[i].progress_at = now;
+    worker_order order;
+    order.is_start = true;
+    order.worker = workers[i];
+    order.task =
+        TaskName(position.job, position.occurrence, position.step, unit->first_task + static_cast<int>(i));
+    order.run = unit->last_run;
+    order.payload = job.submission.request.payload;
+    order.checkpoint = unit->checkpoint;
+    AddEvent(pool_event_kind::kStartOrdered, position.job, order.task, order.run, order.worker,
+             "wait_ms=" + std::to_string((now - unit->ready_at).count()));
+    orders_.push_back(std::move(order));
+  }
+  if (job.phase == job_phase::kQueued) {
+    job.phase = job_phase::kRunning;
+    MarkChanged(job, false);
+  }
+}
+
+void pool_state::StopUnit(const unit_position& position, const std::string& reason) {
+  work_unit* unit = FindUnit(position);
+  if (unit == nullptr) return;
+  job_entry& job = jobs_.at(position.job);
+  const step_request& step = job.submission.request.steps[position.step];
+  bool any = false;
+  for (unit_member& member : unit->members) {
+    if (member.phase == run_phase::kIdle || member.phase == run_phase::kStopping) continue;
+    OrderStop({&job, position, unit, &member, &step});
+    any = true;
+  }
+  if (any) AddEvent(pool_event_kind::kStopOrdered, position.job, "", unit->last_run, "", reason);
+}
+
+void pool_state::OrderStop(const task_place& place) {
+  place.member->phase = run_phase::kStopping;
+  place.member->stop_confirmed = false;
+  place.member->answered_order = 0;
+  worker_order order;
+  order.worker = place.member->worker;
+  order.task = TaskName(place.position.job, place.position.occurrence, place.position.step,
+                        place.unit->first_task + static_cast<int>(place.member - place.unit->members.data()));
+  order.run = place.unit->last_run;
+  orders_.push_back(std::move(order));
+}
+
+void pool_state::StopOthers(const task_place& place) {
+  for (unit_member& member : place.unit->members) {
+    if (member.phase == run_phase::kIdle || member.phase == run_phase::kStopping) continue;
+    OrderStop({place.job, place.position, place.unit, &member, place.step});
+  }
+}
+
+void pool_state::TakeStartAnswer(const std::string& task, std::int64_t run, start_answer answer,
+                                 boot_time now) {
+  const std::optional<task_place> place = FindTask(task);
+  if (!place || place->unit->last_run != run || place->member->phase == run_phase::kIdle) return;
+  const std::string worker_id = place->member->worker;
+  if (answer == start_answer::kAccepted) {
+    place->member->confirmed = true;
+    if (place->member->phase != run_phase::kOrdered) return;
+    place->member->phase = run_phase::kRunning;
+    place->member->answered_order = NextOrder();
+    return;
+  }
+  AddEvent(pool_event_kind::kStartRefused, place->position.job, task, run, worker_id,
+           answer == start_answer::kNoAnswer ? "no answer" : "refused");
+  if (answer == start_answer::kNoAnswer) {
+    if (place->member->phase == run_phase::kOrdered) StopOthers(*place);
+    return;
+  }
+  if (answer == start_answer::kWorkerUnhealthy) {
+    worker_entry* worker = FindWorker(worker_id);
+    if (worker != nullptr) worker->avoided_until = now + settings_.avoid_time;
+  }
+  Release(*place);
+  StopOthers(*place);
+}
+
+void pool_state::TakeStopAnswer(const std::string& worker, const std::string& task, std::int64_t run) {
+  const std::optional<task_place> place = FindTask(task);
+  if (!place || place->unit->last_run != run || place->member->worker != worker) return;
+  if (place->member->phase != run_phase::kStopping) return;
+  place->member->stop_confirmed = true;
+  place->member->answered_order = NextOrder();
+}
+
+}  // namespace hickorystall::state::pool
--- /dev/null
+++ b/src/state/pool/unit_queue.cpp
@@ -0,0 +1,131 @@
+#include "state/pool/unit_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace hickorystall::state::pool {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// Late work earns until three times its objective (the users' pages).
+constexpr int kLateFactor = 3;
+
+std::int64_t AcceleratorNeed(const job_entry& job) {
+  std::int64_t need = 0;
+  for (const step_request& step : job.submission.request.steps)
+    need += step.need.accelerators * step.task_count;
+  return need;
+}
+
+milliseconds WholeChain(const job_request& request) {
+  std::vector<milliseconds> ends(request.steps.size());
+  milliseconds longest{0};
+  for (std::size_t i = 0; i < request.steps.size(); ++i) {
+    milliseconds start{0};
+    for (const int earlier : request.steps[i].after) start = std::max(start, ends[earlier]);
+    ends[i] = start + request.steps[i].estimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+struct job_timing {
+  boot_time due;
+  job_prospect prospect;
+};
+
+job_timing JudgeTiming(const job_entry& job, int occurrence, boot_time now, unix_time wall_now) {
+  const job_submission& submission = job.submission;
+  const job_request& request = submission.request;
+  const auto chain = static_cast<double>(WholeChain(request).count());
+  const milliseconds objective =
+      milliseconds(static_cast<std::int64_t>(chain * submission.stretch)) + submission.target_latency;
+  boot_time begin = job.accepted_at;
+  if (request.occurrences > 0) {
+    begin = now - (wall_now - unix_time(request.first_due + occurrence * request.interval));
+  }
+  const boot_time end = now + OpenChain(job, occurrence);
+  job_timing timing{begin + objective, job_prospect::kInTime};
+  if (end > begin + objective) timing.prospect = job_prospect::kLate;
+  if (end > begin + kLateFactor * objective) timing.prospect = job_prospect::kHopeless;
+  return timing;
+}
+
+}  // namespace
+
+int QueuePriority(const pool_state& state, const job_entry& job) {
+  const queue_rules* rules =
+      state.config() == nullptr ? nullptr : state.config()->FindQueueByName(job.submission.queue);
+  return rules == nullptr ? job.submission.priority : rules->priority;
+}
+
+std::set<std::string> WorkspacesWithinGuarantee(const pool_state& state) {
+  std::map<std::string, std::int64_t> need;
+  for (const auto& [id, job] : state.jobs()) {
+    if (IsFinal(job.phase) || QueuePriority(state, job) != 0) continue;
+    need[job.submission.workspace] += AcceleratorNeed(job);
+  }
+  std::set<std::string> within;
+  for (const auto& [workspace, accelerators] : need) {
+    const workspace_rules* rules =
+        state.config() == nullptr ? nullptr : state.config()->FindWorkspace(workspace);
+    if (rules != nullptr && accelerators <= rules->guaranteed_accelerators) within.insert(workspace);
+  }
+  return within;
+}
+
+milliseconds OpenChain(const job_entry& job, int occurrence) {
+  const job_request& request = job.submission.request;
+  const auto found = job.occurrences.find(occurrence);
+  std::vector<milliseconds> ends(request.steps.size());
+  milliseconds longest{0};
+  for (std::size_t i = 0; i < request.steps.size(); ++i) {
+    milliseconds start{0};
+    for (const int earlier : request.steps[i].after) start = std::max(start, ends[earlier]);
+    const bool open = found == job.occurrences.end() || found->second.steps[i].open_units > 0;
+    ends[i] = start + (open ? request.steps[i].estimate : milliseconds(0));
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+std::vector<waiting_unit> MakeUnitQueue(const pool_state& state, boot_time now, unix_time wall_now) {
+  std::vector<waiting_unit> queue;
+  const std::set<std::string> within = WorkspacesWithinGuarantee(state);
+  for (const auto& [id, job] : state.jobs()) {
+    if (IsFinal(job.phase)) continue;
+    const int priority = QueuePriority(state, job);
+    for (const auto& [number, occurrence] : job.occurrences) {
+      if (occurrence.IsDone()) continue;
+      const job_timing timing = JudgeTiming(job, number, now, wall_now);
+      for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (!occurrence.steps[step].ready || occurrence.steps[step].open_units == 0) continue;
+        const auto& units = occurrence.steps[step].units;
+        for (std::size_t unit = 0; unit < units.size(); ++unit) {
+          if (units[unit].done || !units[unit].IsIdle()) continue;
+          waiting_unit entry;
+          entry.position = {id, number, static_cast<int>(step), static_cast<int>(unit)};
+          entry.job = &job;
+          entry.step = &job.submission.request.steps[step];
+          entry.unit = &units[unit];
+          entry.priority = priority;
+          entry.is_guaranteed = priority == 0 && within.contains(job.submission.workspace);
+          entry.prospect = timing.prospect;
+          entry.due = timing.due;
+          queue.push_back(entry);
+        }
+      }
+    }
+  }
+  const auto key = [](const waiting_unit& entry) {
+    return std::tuple(!entry.is_guaranteed, entry.prospect == job_prospect::kHopeless, entry.priority,
+                      entry.prospect, entry.due, entry.position);
+  };
+  std::sort(queue.begin(), queue.end(),
+            [&key](const waiting_unit& left, const waiting_unit& right) { return key(left) < key(right); });
+  return queue;
+}
+
+}  // namespace hickorystall::state::pool
