--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds kRetryPause{200};
 // Longest time between two passes: due times, leases and stuck tasks are looked at that often.
 constexpr milliseconds kTick{200};
+// How often the list of workers is compared with what is stored, besides at each change of the registry.
+constexpr milliseconds kRecordLook{1000};
 // Final jobs are kept for the users' 120 s and as long again as a client may take to ask.
 constexpr milliseconds kKeepFinal{150'000};
 
@@ -109,6 +111,7 @@
     if (status.ok()) {
       job.submission = *std::move(submission);
       job.row_version = stored == progress_rows.end() ? row.version : stored->second->version;
+      job.is_unseen_by_predecessors = row.version > parts_.owner->epoch_version();
       job.accepted_at = now - std::max(milliseconds(0), wall_now - job.submission.accepted_at);
       if (stored != progress_rows.end()) status = RestoreProgress(stored->second->value, job);
     }
@@ -143,7 +146,9 @@
     const json value = json::parse(row.value, nullptr, false);
     if (!value.is_object()) continue;
     for (const auto& [id, address] : value.items()) {
-      if (address.is_string()) state_.AddFormerWorker(id, address.get<std::string>(), bound);
+      if (!address.is_string()) continue;
+      state_.AddFormerWorker(id, address.get<std::string>(), bound);
+      recorded_workers_.insert(id);
     }
   }
   co_return true;
@@ -165,6 +170,7 @@
   job_entry job;
   job.submission = *std::move(submission);
   job.row_version = row.version;
+  job.is_unseen_by_predecessors = row.version > parts_.owner->epoch_version();
   const milliseconds age = parts_.wall_clock->At(now) - job.submission.accepted_at;
   job.accepted_at = now - std::clamp(age, milliseconds(0), kFeedWait);
   state_.AddJob(std::move(job), now);
@@ -254,12 +260,15 @@
   while (!stopped_) {
     json value = json::object();
     std::vector<std::string> unrecorded;
+    std::set<std::string> known;
     for (const auto& [id, worker] : state_.workers()) {
       value[id] = worker.registration.address;
+      known.insert(id);
       if (!worker.recorded) unrecorded.push_back(id);
     }
-    if (unrecorded.empty()) {
-      co_await registry_changed_.Wait(kFeedWait);
+    // A worker that is gone must not stay in the row: a later owner would wait for its last lease.
+    if (known == recorded_workers_) {
+      co_await registry_changed_.Wait(kRecordLook);
       continue;
     }
     store_transaction transaction;
@@ -270,6 +279,7 @@
     if (stopped_) co_return;
     if (result.outcome == transaction_outcome::kDone) {
       workers_version_ = result.version;
+      recorded_workers_ = std::move(known);
       for (const std::string& id : unrecorded) state_.MarkRecorded(id);
       Wake();
       continue;
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -90,6 +90,8 @@
   std::int64_t registry_position_ = 0;
   // Version of the row that lists the workers.
   std::int64_t workers_version_ = 0;
+  // Workers that the row names.
+  std::set<std::string> recorded_workers_;
   // Workers that have a session.
   std::set<std::string> sessions_;
   state::pool::boot_time sampled_at_{};
--- a/src/coordination/pool/progress_writer.cpp
+++ b/src/coordination/pool/progress_writer.cpp
@@ -13,7 +13,10 @@
 namespace {
 
 constexpr milliseconds kAnswerTimeout{800};
-constexpr milliseconds kRetryPause{150};
+// Pauses after a write that was not confirmed; doubled up to the longest, so that an owner that the store
+// turns away does not press it.
+constexpr milliseconds kRetryPause{100};
+constexpr milliseconds kLongestRetryPause{800};
 // Changes that nobody waits for, such as the first start of a job, are collected for this long.
 constexpr milliseconds kCollectTime{500};
 // A transaction holds 100 entries: a condition and a write a job, two conditions of the owner, and removals.
@@ -101,6 +104,8 @@
   const transaction_result result = co_await store_.Apply(MakeTransaction(jobs, removals), kAnswerTimeout);
   if (stopped_ || owner_.epoch() != epoch) co_return;
   if (result.outcome == transaction_outcome::kDone) {
+    if (failures_ > 0) log_.Write("writer", "store takes writes again", {});
+    failures_ = 0;
     for (const std::string& id : jobs) {
       const auto job = state_.jobs().find(id);
       if (job != state_.jobs().end()) job->second.row_version = result.version;
@@ -118,10 +123,14 @@
     TakeConflict(result);
     co_return;
   }
-  log_.Write("writer", "write not confirmed",
-             {{"outcome", result.outcome == transaction_outcome::kUnknown ? "unknown" : "not_done"},
-              {"jobs", std::to_string(changed_.size())}});
-  co_await transport::Sleep(kRetryPause);
+  if (failures_ == 0) {
+    log_.Write("writer", "write not confirmed",
+               {{"outcome", result.outcome == transaction_outcome::kUnknown ? "unknown" : "not_done"},
+                {"jobs", std::to_string(changed_.size())}});
+  }
+  const milliseconds pause = std::min(kRetryPause * (1 << std::min(failures_, 4)), kLongestRetryPause);
+  ++failures_;
+  co_await transport::Sleep(pause);
 }
 
 void progress_writer::TakeConflict(const transaction_result& result) {
--- a/src/coordination/pool/progress_writer.h
+++ b/src/coordination/pool/progress_writer.h
@@ -48,6 +48,8 @@
   std::set<std::string> changed_;
   std::set<std::string> removals_;
   bool urgent_ = false;
+  // Writes in a row that were not confirmed.
+  int failures_ = 0;
   // Number of the transaction that will hold changes made now, and of the newest that was applied.
   std::int64_t next_write_ = 1;
   std::int64_t stored_write_ = 0;
--- a/src/state/pool/job_entry.h
+++ b/src/state/pool/job_entry.h
@@ -135,6 +135,8 @@
   boot_time accepted_at{};
   /// Version of the row that holds the progress.
   std::int64_t row_version = 0;
+  /// True when it was stored after this owner took over, so that no earlier owner can have started it.
+  bool is_unseen_by_predecessors = false;
   /// When it became final.
   std::optional<boot_time> final_at;
   /// True while the job has units that run or may run.
--- a/src/state/pool/pool_state.cpp
+++ b/src/state/pool/pool_state.cpp
@@ -15,6 +15,27 @@
 // without a write a start. The first owner begins at 1.
 constexpr std::int64_t kRunsPerEpoch = 1'000'000;
 
+// What decides a job's placement, for its first log record.
+std::string Describe(const job_entry& job) {
+  std::string text = "phase=" + std::string(JobPhaseName(job.phase)) +
+                     " priority=" + std::to_string(job.submission.priority) +
+                     " workspace=" + job.submission.workspace;
+  for (const step_request& step : job.submission.request.steps) {
+    text += " step=" + std::to_string(step.task_count) + "x" + std::to_string(step.need.cpu_millis) + "m," +
+            std::to_string(step.need.accelerators) + "a," + std::to_string(step.estimate.count()) + "ms";
+    if (step.gang) text += ",gang";
+    if (step.same_rack) text += ",one_rack";
+    if (!step.data_rack.empty()) text += ",near=" + step.data_rack;
+    if (!step.required_label.empty()) text += ",label=" + step.required_label;
+    if (step.max_per_worker > 0) text += ",max=" + std::to_string(step.max_per_worker);
+    if (step.checkpointable) text += ",checkpoints";
+  }
+  if (job.submission.request.occurrences > 0) {
+    text += " occurrences=" + std::to_string(job.submission.request.occurrences);
+  }
+  return text;
+}
+
 }  // namespace
 
 pool_state::pool_state(pool_settings settings, std::int64_t epoch) : settings_(settings), epoch_(epoch) {}
@@ -83,7 +104,7 @@
     ReadySteps(entry.submission.request, occurrence, now);
   }
   if (IsFinal(entry.phase) && !entry.final_at) entry.final_at = now;
-  AddEvent(pool_event_kind::kJobAdded, id, "", 0, "", std::string(JobPhaseName(entry.phase)));
+  AddEvent(pool_event_kind::kJobAdded, id, "", 0, "", Describe(entry));
 }
 
 void pool_state::CancelJob(const std::string& id, boot_time now) {
