Do not take a finished gang member for a stuck one, and spare useless victims

And a preemption took the cheapest victims in turn although the first freed too little to matter. Change: a member at 100 percent is not stuck; victims that turn out not to be needed are spared, dearest first.

--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -102,7 +102,7 @@
         if (member.phase == run_phase::kIdle) continue;
         const worker_entry& worker = state_.workers().at(member.worker);
         if (MustLeave(entry, member, worker)) reason = "worker leaves";
-        if (IsStuck(member, worker)) reason = "no progress";
+        if (IsStuck(member, worker)) reason = "no progress beyond percent=" + std::to_string(member.percent);
       }
       if (reason.empty()) continue;
       plan_.stops.push_back({entry.position, reason});
@@ -116,7 +116,8 @@
   }
 
   bool IsStuck(const unit_member& member, const worker_entry& worker) const {
-    return member.phase == run_phase::kRunning && worker.reachable &&
+    // A member of a gang that has done its share waits for the others.
+    return member.phase == run_phase::kRunning && worker.reachable && member.percent < 100 &&
            worker.clock_read_at - member.progress_at > kStuckAfter;
   }
 
--- a/src/state/pool/preemption.cpp
+++ b/src/state/pool/preemption.cpp
@@ -17,18 +17,31 @@
   for (const int slot : victim.slots) slots[slot].free += victim.step->need;
 }
 
-// Adds the cheapest victims on `slot` until one more member fits there; false when none suffice.
+void Occupy(capacity_slots& slots, const preemption_victim& victim) {
+  for (const int slot : victim.slots) slots[slot].free -= victim.step->need;
+}
+
+// Adds the cheapest victims on `slot` until one more member fits there, then spares those that turn out not
+// to be needed, dearest first; false when none suffice.
 bool MakeRoom(capacity_slots& slots, int slot, const unit_shape& shape,
               const std::vector<preemption_victim>& victims, const std::vector<int>& candidates,
               std::set<int>& taken, double& cost) {
+  std::vector<int> added;
   for (const int candidate : candidates) {
-    if (MembersThatFit(slots[slot], shape, 1) > 0) return true;
+    if (MembersThatFit(slots[slot], shape, 1) > 0) break;
     if (taken.contains(candidate)) continue;
-    taken.insert(candidate);
-    cost += victims[candidate].lost_work;
+    added.push_back(candidate);
     Free(slots, victims[candidate]);
   }
-  return MembersThatFit(slots[slot], shape, 1) > 0;
+  if (MembersThatFit(slots[slot], shape, 1) == 0) return false;
+  for (auto candidate = added.rbegin(); candidate != added.rend(); ++candidate) {
+    Occupy(slots, victims[*candidate]);
+    if (MembersThatFit(slots[slot], shape, 1) > 0) continue;
+    Free(slots, victims[*candidate]);
+    taken.insert(*candidate);
+    cost += victims[*candidate].lost_work;
+  }
+  return true;
 }
 
 struct member_room {
