Take over after 1.5 s of silence, and at once from a former life on the same VM

Ruled out: a shorter authority, which would stop the pool earlier in a store outage. Change: suspicion (1.5 s) and authority (3.5 s) are two settings. An overlap of two owners is safe: the new one fences and reads every worker first, adds the former authority to the lease of those it does not reach, and an owner gives up runs of a silent worker only when its ownership was confirmed after their lease.

--- a/src/coordination/pool/ownership.cpp
+++ b/src/coordination/pool/ownership.cpp
@@ -25,7 +25,9 @@
 ownership::ownership(pool_store& store, event_log& log, ownership_settings settings)
     : store_(store), log_(log), settings_(std::move(settings)) {}
 
-bool ownership::HasAuthority() const { return epoch_ > 0 && BootNow() < authority_until_; }
+bool ownership::HasAuthority() const {
+  return epoch_ > 0 && !stopping_ && BootNow() < confirmed_at_ + settings_.authority;
+}
 
 boost::asio::awaitable<void> ownership::Run() {
   while (!stopping_) {
@@ -40,8 +42,12 @@
   ended_ = true;
 }
 
-std::string ownership::LeaseValue() const {
-  return json{{"holder", settings_.life}, {"vm", settings_.instance}, {"epoch", epoch_}}.dump();
+std::string ownership::LeaseValue(std::int64_t epoch) const {
+  return json{{"holder", settings_.life},
+              {"vm", settings_.instance},
+              {"address", settings_.address},
+              {"epoch", epoch}}
+      .dump();
 }
 
 void ownership::TakeRow(const stored_row& row) {
@@ -51,7 +57,10 @@
     seen_.epoch_version = row.removed ? 0 : row.version;
   } else if (row.key == kLeaseKey) {
     if (row.version != seen_.lease_version) unchanged_since_ = BootNow();
-    seen_.holder = value.is_object() ? value.value("holder", "") : "";
+    const auto text = [&value](const char* name) { return value.is_object() ? value.value(name, "") : ""; };
+    seen_.holder = text("holder");
+    seen_.vm = text("vm");
+    seen_.address = text("address");
     seen_.lease_version = row.removed ? 0 : row.version;
   }
 }
@@ -62,8 +71,8 @@
     result = co_await store_.ReadRange(kOwnershipTable, "", "", kAnswerTimeout);
   } else {
     // The wait ends when this VM might take over.
-    const milliseconds left = settings_.term - (BootNow() - unchanged_since_);
-    const milliseconds wait = std::clamp(left, milliseconds(50), settings_.term);
+    const milliseconds left = settings_.suspicion - (BootNow() - unchanged_since_);
+    const milliseconds wait = std::clamp(left, milliseconds(50), settings_.suspicion);
     result = co_await store_.Follow(kOwnershipTable, *position_, wait, kAnswerTimeout);
   }
   if (!result.status.ok()) {
@@ -78,38 +87,49 @@
   position_ = result.version;
 }
 
+bool ownership::HasHolderEnded() const {
+  if (seen_.lease_version == 0 || seen_.holder.empty()) return true;
+  return seen_.vm == settings_.instance && seen_.address == settings_.address;
+}
+
 bool ownership::MayTakeOver() const {
   if (!position_) return false;
-  const bool is_free = seen_.lease_version == 0 || seen_.holder.empty();
-  return is_free || BootNow() - unchanged_since_ >= settings_.term;
+  return HasHolderEnded() || BootNow() - unchanged_since_ >= settings_.suspicion;
+}
+
+// Returns false when another VM was faster.
+boost::asio::awaitable<bool> ownership::WaitForStrongerVms() {
+  const std::int64_t version = seen_.lease_version;
+  co_await transport::Sleep(settings_.takeover_delay);
+  const rows_result rows = co_await store_.ReadRange(kOwnershipTable, "", "", kAnswerTimeout);
+  if (!rows.status.ok()) {
+    position_.reset();
+    co_return false;
+  }
+  for (const stored_row& row : rows.rows) TakeRow(row);
+  position_ = rows.version;
+  co_return seen_.lease_version == version;
 }
 
 boost::asio::awaitable<void> ownership::TryTakeover() {
-  if (settings_.takeover_delay.count() > 0) {
-    const std::int64_t version = seen_.lease_version;
-    co_await transport::Sleep(settings_.takeover_delay);
-    const rows_result rows = co_await store_.ReadRange(kOwnershipTable, "", "", kAnswerTimeout);
-    if (!rows.status.ok()) {
-      position_.reset();
-      co_return;
-    }
-    for (const stored_row& row : rows.rows) TakeRow(row);
-    position_ = rows.version;
-    if (seen_.lease_version != version || stopping_) co_return;
+  const bool is_own_vm = seen_.lease_version != 0 && !seen_.holder.empty() && HasHolderEnded();
+  if (!is_own_vm && settings_.takeover_delay.count() > 0) {
+    const bool is_free = co_await WaitForStrongerVms();
+    if (!is_free || stopping_) co_return;
   }
+  const bool holder_has_ended = HasHolderEnded();
   const boot_time sent_at = BootNow();
   const std::int64_t epoch = seen_.epoch + 1;
   store_transaction transaction;
   transaction.conditions = {{kOwnershipTable, kEpochKey, seen_.epoch_version},
                             {kOwnershipTable, kLeaseKey, seen_.lease_version}};
-  const json lease{{"holder", settings_.life}, {"vm", settings_.instance}, {"epoch", epoch}};
   transaction.changes = {
       {kOwnershipTable, kEpochKey, json{{"epoch", epoch}, {"holder", settings_.life}}.dump()},
-      {kOwnershipTable, kLeaseKey, lease.dump()}};
+      {kOwnershipTable, kLeaseKey, LeaseValue(epoch)}};
   const transaction_result result = co_await store_.Apply(std::move(transaction), kAnswerTimeout);
   if (result.outcome != transaction_outcome::kDone) {
-    // After a lost answer the rows tell whether it was applied; this VM then finds its own name in the lease,
-    // lets it lapse and takes over with the next epoch.
+    // After a lost answer the rows tell whether it was applied. This VM then finds itself in the lease, and
+    // takes over from itself with the next epoch.
     position_.reset();
     unchanged_since_ = BootNow();
     co_await transport::Sleep(kRetryPause);
@@ -118,9 +138,14 @@
   epoch_ = epoch;
   epoch_version_ = result.version;
   lease_version_ = result.version;
-  authority_until_ = sent_at + settings_.term - settings_.margin;
+  confirmed_at_ = sent_at;
+  predecessor_quiet_at_ = BootNow();
+  if (!holder_has_ended) predecessor_quiet_at_ += settings_.authority + settings_.margin;
   log_.Write("ownership", "gained",
-             {{"epoch", std::to_string(epoch_)}, {"previous", seen_.holder.empty() ? "none" : seen_.holder}});
+             {{"epoch", std::to_string(epoch_)},
+              {"previous", seen_.holder.empty() ? "none" : seen_.holder},
+              {"previous_ended", holder_has_ended ? "yes" : "unknown"},
+              {"unchanged_ms", std::to_string((BootNow() - unchanged_since_).count())}});
   if (listener_) listener_(true);
 }
 
@@ -130,14 +155,14 @@
   store_transaction transaction;
   transaction.conditions = {{kOwnershipTable, kEpochKey, epoch_version_},
                             {kOwnershipTable, kLeaseKey, lease_version_}};
-  transaction.changes = {{kOwnershipTable, kLeaseKey, LeaseValue()}};
+  transaction.changes = {{kOwnershipTable, kLeaseKey, LeaseValue(epoch_)}};
   const transaction_result result = co_await store_.Apply(std::move(transaction), kAnswerTimeout);
   if (!is_owner()) co_return;
   if (result.outcome == transaction_outcome::kDone) {
-    const bool was_late = BootNow() >= authority_until_;
+    const bool was_late = sent_at - confirmed_at_ >= settings_.authority;
     if (was_late) log_.Write("ownership", "renewed late", {{"epoch", std::to_string(epoch_)}});
     lease_version_ = result.version;
-    authority_until_ = std::max(authority_until_, sent_at + settings_.term - settings_.margin);
+    confirmed_at_ = sent_at;
     while (!stopping_ && is_owner() && BootNow() < next) {
       co_await transport::Sleep(std::min(milliseconds(100), next - BootNow()));
     }
@@ -166,7 +191,6 @@
   if (!is_owner()) return;
   log_.Write("ownership", "lost", {{"epoch", std::to_string(epoch_)}, {"reason", reason}});
   epoch_ = 0;
-  authority_until_ = {};
   position_.reset();
   seen_ = {};
   unchanged_since_ = BootNow();
@@ -174,8 +198,7 @@
 }
 
 boost::asio::awaitable<void> ownership::Release() {
-  // Nothing may be ordered once another VM can take over.
-  authority_until_ = {};
+  // HasAuthority is false by now: nothing is ordered once another VM knows that this owner has ended.
   const std::int64_t epoch = epoch_;
   if (listener_) listener_(false);
   store_transaction transaction;
--- a/src/coordination/pool/ownership.h
+++ b/src/coordination/pool/ownership.h
@@ -15,17 +15,22 @@
 
 /// Settings of the ownership of a pool.
 struct ownership_settings {
-  /// Name of this VM.
+  /// Name of this VM, and an address of it: a VM that replaces another may have its name, but not its
+  /// address.
   std::string instance;
+  std::string address;
   /// Distinguishes this life of the process from earlier ones on the same VM.
   std::string life;
-  /// Time without a renewal after which another VM may take over.
-  std::chrono::milliseconds term{2500};
-  /// Taken off the term for the owner itself: it falls silent before another may begin. Covers the difference
-  /// of two steady clocks over one term and the time between a check of the authority and the order.
-  std::chrono::milliseconds margin{300};
-  /// Time between two renewals; three fit into the term.
-  std::chrono::milliseconds renewal{700};
+  /// Time between two renewals.
+  std::chrono::milliseconds renewal{500};
+  /// Time without a renewal after which another VM takes over. Three renewals; more than a slow store delays
+  /// one.
+  std::chrono::milliseconds suspicion{1500};
+  /// Time after its last applied renewal in which an owner goes on giving orders. Longer than the suspicion,
+  /// so that tasks go on while nobody reaches the store.
+  std::chrono::milliseconds authority{3500};
+  /// Added by a new owner to the authority of the former: the difference of two clocks over that time.
+  std::chrono::milliseconds margin{200};
   /// Delay before this VM tries to take over, so that stronger VMs go first.
   std::chrono::milliseconds takeover_delay{0};
 };
@@ -34,10 +39,13 @@
 /// than the one before. The epoch is the fencing token of its orders, and its writes depend on the epoch's
 /// row.
 ///
-/// An owner has authority until `term` less `margin` after it sent its last renewal that was applied. Another
-/// VM takes over only after it has seen the lease row unchanged for `term`, reaching the store all the while,
-/// and it cannot have seen the row before the renewal was sent. So two VMs never have authority at once.
-/// Times are read from the clock that counts suspended time.
+/// A former owner that is cut off from the store may go on giving orders for a while beside a new one, until
+/// `predecessor_quiet_at`. That is safe since a new owner first raises the fencing token on every worker that
+/// may have got orders, and reads what runs there. While it does not reach one of them, it starts nothing
+/// that an earlier owner may have started, until the earlier owner's authority and the leases that it may
+/// still have given are over. And an owner gives up the runs of a silent worker only when its ownership was
+/// confirmed after their lease, so that no other owner can have renewed them. Times are read from the clock
+/// that counts suspended time.
 class ownership {
  public:
   /// `store` and `log` must outlive the object.
@@ -58,8 +66,10 @@
   std::int64_t epoch() const { return epoch_; }
   /// Version of the epoch's row, on which the owner's writes depend.
   std::int64_t epoch_version() const { return epoch_version_; }
-  /// True when an earlier owner may have left runs on workers.
-  bool had_predecessor() const { return epoch_ > 1; }
+  /// Until when the former owner may give orders; the time of the takeover when it is known to have ended.
+  state::pool::boot_time predecessor_quiet_at() const { return predecessor_quiet_at_; }
+  /// When the last renewal that was applied was sent. No other VM was the owner then.
+  state::pool::boot_time confirmed_at() const { return confirmed_at_; }
   /// Takes in that another VM has a higher epoch.
   void Lose(const std::string& reason);
   /// Called with true after this VM has become the owner and with false when it no longer is.
@@ -70,8 +80,10 @@
     std::int64_t epoch = 0;
     std::int64_t epoch_version = 0;
     std::int64_t lease_version = 0;
-    // Life of the process that holds the lease; empty when it was released.
+    // Life, VM and address of the process that holds the lease; empty when it was released.
     std::string holder;
+    std::string vm;
+    std::string address;
   };
   boost::asio::awaitable<void> FollowOnce();
   boost::asio::awaitable<void> TryTakeover();
@@ -79,7 +91,10 @@
   boost::asio::awaitable<void> Release();
   void TakeRow(const stored_row& row);
   bool MayTakeOver() const;
-  std::string LeaseValue() const;
+  // True when the lease was released, or held by a process that this one has replaced.
+  bool HasHolderEnded() const;
+  std::string LeaseValue(std::int64_t epoch) const;
+  boost::asio::awaitable<bool> WaitForStrongerVms();
 
   pool_store& store_;
   event_log& log_;
@@ -93,7 +108,8 @@
   std::int64_t epoch_ = 0;
   std::int64_t epoch_version_ = 0;
   std::int64_t lease_version_ = 0;
-  state::pool::boot_time authority_until_{};
+  state::pool::boot_time confirmed_at_{};
+  state::pool::boot_time predecessor_quiet_at_{};
   bool stopping_ = false;
   bool ended_ = false;
 };
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -111,7 +111,7 @@
     if (status.ok()) {
       job.submission = *std::move(submission);
       job.row_version = stored == progress_rows.end() ? row.version : stored->second->version;
-      job.is_unseen_by_predecessors = row.version > parts_.owner->epoch_version();
+      job.is_unseen_by_predecessors = IsUnseenByPredecessors(row);
       job.accepted_at = now - std::max(milliseconds(0), wall_now - job.submission.accepted_at);
       if (stored != progress_rows.end()) status = RestoreProgress(stored->second->value, job);
     }
@@ -139,7 +139,8 @@
   const milliseconds lease = state_.settings().worker_lease;
   const auto tolerance = milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) *
                                                                 state_.settings().worker_clock_tolerance));
-  const boot_time bound = BootNow() + lease + tolerance + state_.settings().lease_margin;
+  const boot_time quiet_at = std::max(BootNow(), parts_.owner->predecessor_quiet_at());
+  const boot_time bound = quiet_at + lease + tolerance + state_.settings().lease_margin;
   for (const stored_row& row : former.rows) {
     if (row.key != kWorkersKey) continue;
     workers_version_ = row.version;
@@ -154,6 +155,11 @@
   co_return true;
 }
 
+// A former owner that may still give orders may have seen any job, however new.
+bool pool_owner::IsUnseenByPredecessors(const stored_row& row) const {
+  return row.version > parts_.owner->epoch_version() && BootNow() >= parts_.owner->predecessor_quiet_at();
+}
+
 void pool_owner::TakeJobRow(const stored_row& row) {
   if (row.removed) return;
   const boot_time now = BootNow();
@@ -170,7 +176,7 @@
   job_entry job;
   job.submission = *std::move(submission);
   job.row_version = row.version;
-  job.is_unseen_by_predecessors = row.version > parts_.owner->epoch_version();
+  job.is_unseen_by_predecessors = IsUnseenByPredecessors(row);
   const milliseconds age = parts_.wall_clock->At(now) - job.submission.accepted_at;
   job.accepted_at = now - std::clamp(age, milliseconds(0), kFeedWait);
   state_.AddJob(std::move(job), now);
@@ -301,7 +307,7 @@
 void pool_owner::PlanOnce() {
   const boot_time now = BootNow();
   state_.SetConfig(parts_.config->config());
-  state_.ExpireLeases(now);
+  state_.ExpireLeases(now, parts_.owner->confirmed_at());
   for (const std::string& id : state_.ForgetJobs(now - kKeepFinal)) writer_.Remove(id);
   const unix_time wall_now = parts_.wall_clock->At(now);
   state_.MakeDueOccurrences(now, wall_now);
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -70,6 +70,7 @@
   boost::asio::awaitable<bool> RenewWorker(std::string worker);
   boost::asio::awaitable<void> SendStart(state::pool::worker_order order);
   boost::asio::awaitable<void> SendStop(state::pool::worker_order order);
+  bool IsUnseenByPredecessors(const stored_row& row) const;
   void TakeJobRow(const stored_row& row);
   void TakeRegistryRow(const stored_row& row);
   void PlanOnce();
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -84,8 +84,9 @@
   void TakeStartAnswer(const std::string& task, std::int64_t run, start_answer answer, boot_time now);
   /// Takes in that the stop of `run` of `task` on `worker` was answered.
   void TakeStopAnswer(const std::string& worker, const std::string& task, std::int64_t run);
-  /// Gives up the runs on workers whose lease bound has passed while they did not answer.
-  void ExpireLeases(boot_time now);
+  /// Gives up the runs on silent workers whose lease bound had passed at `confirmed_at`, when no other VM was
+  /// the owner and could have renewed their lease.
+  void ExpireLeases(boot_time now, boot_time confirmed_at);
 
   /// Starts `unit` on `workers`, one entry a member.
   void StartUnit(const unit_position& position, const std::vector<std::string>& workers, boot_time now);
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -92,10 +92,10 @@
            "lease_left_ms=" + std::to_string((worker->lease_bound - now).count()));
 }
 
-void pool_state::ExpireLeases(boot_time now) {
+void pool_state::ExpireLeases(boot_time now, boot_time confirmed_at) {
   for (auto worker = workers_.begin(); worker != workers_.end();) {
     worker_entry& entry = worker->second;
-    const bool over = !entry.reachable && now >= entry.lease_bound;
+    const bool over = !entry.reachable && confirmed_at >= entry.lease_bound;
     if (over) {
       LoseRuns(entry, "lease over, worker silent");
       entry.unaccounted.clear();
