Count failed runs in any order, and wait for stray members of a gang

Change: the set of failed runs is kept and stored; a unit with a task that runs unaccounted does not start.

--- a/src/coordination/pool/pool_codec.cpp
+++ b/src/coordination/pool/pool_codec.cpp
@@ -44,8 +44,8 @@
 // A unit is 0 when nothing happened to it, 1 when it is done, and an object in between.
 json EncodeUnit(const work_unit& unit) {
   if (unit.done) return 1;
-  if (unit.failures == 0 && unit.checkpoint.empty()) return 0;
-  json row{{"failures", unit.failures}, {"ended_run", unit.last_ended_run}};
+  if (unit.failed_runs.empty() && unit.checkpoint.empty()) return 0;
+  json row{{"failed_runs", unit.failed_runs}};
   if (!unit.checkpoint.empty()) row["checkpoint"] = unit.checkpoint;
   return row;
 }
@@ -56,9 +56,8 @@
     if (unit.done) --step.open_units;
     return;
   }
-  unit.failures = row.at("failures");
-  unit.last_ended_run = row.at("ended_run");
-  unit.last_run = unit.last_ended_run;
+  unit.failed_runs = row.at("failed_runs").get<std::set<std::int64_t>>();
+  if (!unit.failed_runs.empty()) unit.last_run = *unit.failed_runs.rbegin();
   unit.checkpoint = row.value("checkpoint", "");
 }
 
--- a/src/state/pool/job_entry.h
+++ b/src/state/pool/job_entry.h
@@ -62,12 +62,11 @@
   std::vector<unit_member> members;
   /// True when the work is done.
   bool done = false;
-  /// Attempts that ended failed.
-  int failures = 0;
+  /// Runs that ended failed. Each counts once, although a gang's members share a run and an end may be listed
+  /// to several owners; the ends of different workers come in any order.
+  std::set<std::int64_t> failed_runs;
   /// Number of the latest start.
   std::int64_t last_run = 0;
-  /// Number of the latest run whose end was taken in.
-  std::int64_t last_ended_run = 0;
   /// Latest checkpoint; empty for none.
   std::string checkpoint;
   /// Workers on which it failed.
@@ -81,6 +80,8 @@
 
   /// True when nothing of it runs or may run.
   bool IsIdle() const;
+  /// Attempts that ended failed.
+  int failures() const { return static_cast<int>(failed_runs.size()); }
 };
 
 /// One occurrence of one step.
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -157,7 +157,8 @@
   work_unit& unit = *place->unit;
   unit_member& member = *place->member;
   if (member.phase == run_phase::kIdle && !unit.done && !IsFinal(place->job->phase) &&
-      (unit.IsIdle() ? run.run > unit.last_ended_run : run.run == unit.last_run)) {
+      (unit.IsIdle() ? run.run >= unit.last_run : run.run == unit.last_run) &&
+      !unit.failed_runs.contains(run.run)) {
     // A run that an earlier owner started.
     unit.last_run = std::max(unit.last_run, run.run);
     unit.started_at = now;
@@ -251,7 +252,6 @@
 void pool_state::TakeDone(const task_place& place, boot_time now) {
   work_unit& unit = *place.unit;
   unit.done = true;
-  unit.last_ended_run = std::max(unit.last_ended_run, unit.last_run);
   job_entry& job = *place.job;
   const auto found = job.occurrences.find(place.position.occurrence);
   --found->second.steps[place.position.step].open_units;
@@ -267,14 +267,11 @@
 
 void pool_state::TakeFailure(const task_place& place, worker_entry& worker, std::int64_t run, boot_time now) {
   work_unit& unit = *place.unit;
-  // A gang's members share a run, and an end may be listed again to a later owner.
-  if (run <= unit.last_ended_run) return;
-  unit.last_ended_run = run;
-  ++unit.failures;
+  if (!unit.failed_runs.insert(run).second) return;
   unit.failed_on.insert(worker.registration.id);
   AddEvent(pool_event_kind::kRunFailed, place.position.job,
            TaskName(place.position.job, place.position.occurrence, place.position.step, unit.first_task), run,
-           worker.registration.id, "failures=" + std::to_string(unit.failures));
+           worker.registration.id, "failures=" + std::to_string(unit.failures()));
   ++worker.failures_in_row;
   if (worker.failures_in_row >= settings_.failures_before_avoiding) {
     const int doublings = std::min(worker.failures_in_row - settings_.failures_before_avoiding, 4);
@@ -284,7 +281,7 @@
              "failures_in_row=" + std::to_string(worker.failures_in_row));
   }
   MarkChanged(*place.job, true);
-  if (unit.failures >= MaxAttempts(*place.job)) FinishJob(*place.job, job_phase::kFailed, now);
+  if (unit.failures() >= MaxAttempts(*place.job)) FinishJob(*place.job, job_phase::kFailed, now);
 }
 
 }  // namespace hickorystall::state::pool
--- a/src/state/pool/unit_queue.cpp
+++ b/src/state/pool/unit_queue.cpp
@@ -53,6 +53,25 @@
   return timing;
 }
 
+// Units with a task that still runs somewhere although no unit accounts for it, such as the members of a gang
+// that failed on another worker while the owner changed.
+std::set<unit_position> UnitsWithStrayRuns(const pool_state& state) {
+  std::set<unit_position> units;
+  for (const auto& [id, worker] : state.workers()) {
+    for (const auto& [task, need] : worker.unaccounted) {
+      const std::optional<task_name_parts> parts = ParseTaskName(task);
+      if (!parts) continue;
+      const auto job = state.jobs().find(parts->job);
+      if (job == state.jobs().end()) continue;
+      const auto& steps = job->second.submission.request.steps;
+      if (parts->step >= static_cast<int>(steps.size())) continue;
+      const int unit = steps[parts->step].gang ? 0 : parts->index;
+      units.insert({parts->job, parts->occurrence, parts->step, unit});
+    }
+  }
+  return units;
+}
+
 }  // namespace
 
 int QueuePriority(const pool_state& state, const job_entry& job) {
@@ -94,6 +113,7 @@
 std::vector<waiting_unit> MakeUnitQueue(const pool_state& state, boot_time now, unix_time wall_now) {
   std::vector<waiting_unit> queue;
   const std::set<std::string> within = WorkspacesWithinGuarantee(state);
+  const std::set<unit_position> stray = UnitsWithStrayRuns(state);
   for (const auto& [id, job] : state.jobs()) {
     if (IsFinal(job.phase)) continue;
     const int priority = QueuePriority(state, job);
@@ -107,6 +127,7 @@
           if (units[unit].done || !units[unit].IsIdle()) continue;
           waiting_unit entry;
           entry.position = {id, number, static_cast<int>(step), static_cast<int>(unit)};
+          if (stray.contains(entry.position)) continue;
           entry.job = &job;
           entry.step = &job.submission.request.steps[step];
           entry.unit = &units[unit];
--- /dev/null
+++ b/tests/state/pool/pool_fixture.cpp
@@ -0,0 +1,86 @@
+#include "state/pool/pool_fixture.h"
+
+namespace hickorystall::tests {
+
+using namespace state::pool;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+pool_fixture::pool_fixture(int workers, int rack_size, std::int64_t epoch) : state(pool_settings{}, epoch) {
+  auto config = std::make_shared<pool_config>();
+  config->version = 1;
+  for (int priority = 0; priority < 3; ++priority) {
+    queue_rules queue;
+    queue.name = "q" + std::to_string(priority);
+    queue.service = "s";
+    queue.priority = priority;
+    queue.max_attempts = 4;
+    queue.stretch = priority == 0 ? 1.5 : 3.0;
+    config->queues.push_back(queue);
+  }
+  config->workspaces.push_back({"w", {"key"}, 8});
+  state.SetConfig(config);
+  for (int i = 0; i < workers; ++i) {
+    worker_registration registration;
+    registration.id = Worker(i);
+    registration.address = "10.0.0.1:1";
+    registration.service = "s";
+    registration.capacity = {128'000, 262'144, 8};
+    registration.rack = "rack-" + std::to_string(i / rack_size);
+    registration.labels = {"a", registration.rack};
+    registration.born = 5;
+    state.SetRegistration(registration, now);
+    state.MarkRecorded(Worker(i));
+    List(Worker(i), {});
+  }
+  state.TakeEvents();
+}
+
+void pool_fixture::Submit(const std::string& id, const step_request& step, int priority,
+                          const std::string& workspace) {
+  job_entry job;
+  job.submission.id = id;
+  job.submission.workspace = workspace;
+  job.submission.queue = "q" + std::to_string(priority);
+  job.submission.service = "s";
+  job.submission.priority = priority;
+  job.submission.max_attempts = 4;
+  job.submission.stretch = priority == 0 ? 1.5 : 3.0;
+  job.submission.request.steps = {step};
+  job.accepted_at = now;
+  state.AddJob(std::move(job), now);
+}
+
+std::vector<worker_order> pool_fixture::Plan() {
+  state.MakeDueOccurrences(now, wall_now);
+  const pool_plan plan = PlanPool(state, now, wall_now);
+  for (const planned_stop& stop : plan.stops) state.StopUnit(stop.position, stop.reason);
+  for (const planned_start& start : plan.starts) state.StartUnit(start.position, start.workers, now);
+  return state.TakeOrders();
+}
+
+void pool_fixture::Accept(const std::vector<worker_order>& orders) {
+  for (const worker_order& order : orders) {
+    if (order.is_start) state.TakeStartAnswer(order.task, order.run, start_answer::kAccepted, now);
+  }
+}
+
+void pool_fixture::List(const std::string& worker, std::vector<listed_run> running,
+                        std::vector<listed_end> finished) {
+  worker_lists lists;
+  lists.born = 5;
+  lists.clock = worker_time(milliseconds(now.time_since_epoch().count()));
+  lists.running = std::move(running);
+  lists.finished = std::move(finished);
+  state.TakeLists(worker, lists, state.NextOrder(), now);
+}
+
+step_request pool_fixture::Step(int tasks, int accelerators, bool gang) {
+  step_request step;
+  step.task_count = tasks;
+  step.need = {1000, 1024, accelerators};
+  step.estimate = milliseconds(10'000);
+  step.gang = gang;
+  return step;
+}
+
+}  // namespace hickorystall::tests
--- /dev/null
+++ b/tests/state/pool/pool_plan_test.cpp
@@ -0,0 +1,116 @@
+// Decisions of the pool's plan, each with the load that showed its weakness.
+#include "state/pool/pool_plan.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "state/pool/pool_fixture.h"
+
+namespace hickorystall::tests {
+
+using namespace state::pool;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr char kJob[] = "00000000000000aa";
+constexpr char kUrgentJob[] = "00000000000000bb";
+
+std::string Task(int index) { return TaskName(kJob, 0, 0, index); }
+
+int CountStops(const std::vector<worker_order>& orders) {
+  int stops = 0;
+  for (const worker_order& order : orders) stops += order.is_start ? 0 : 1;
+  return stops;
+}
+
+}  // namespace
+
+// Guards against stopping a gang whose fastest member waits for the others: its whole work was lost each
+// time.
+TEST_CASE("a gang member that has done its share is not stuck", "[pool]") {
+  pool_fixture pool(2, 2);
+  pool.Submit(kJob, pool_fixture::Step(2, 8, true));
+  pool.Accept(pool.Plan());
+  const work_unit& unit = *pool.state.FindUnit({kJob, 0, 0, 0});
+  for (int percent = 10; percent <= 90; percent += 10) {
+    pool.Pass(seconds(1));
+    pool.List(unit.members[0].worker, {{Task(0), unit.last_run, "", 100}});
+    pool.List(unit.members[1].worker, {{Task(1), unit.last_run, "", percent}});
+    CHECK(CountStops(pool.Plan()) == 0);
+  }
+}
+
+// Guards against a task that stands still on a worker that answers.
+TEST_CASE("a task without progress is moved", "[pool]") {
+  pool_fixture pool(2, 2);
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  pool.Accept(pool.Plan());
+  const work_unit& unit = *pool.state.FindUnit({kJob, 0, 0, 0});
+  int stops = 0;
+  for (int second = 0; second < 5; ++second) {
+    pool.Pass(seconds(1));
+    pool.List(unit.members[0].worker, {{Task(0), unit.last_run, "", 20}});
+    stops += CountStops(pool.Plan());
+  }
+  CHECK(stops == 1);
+}
+
+// Guards against victims that are stopped although they free too little.
+TEST_CASE("preemption spares victims that do not make room", "[pool]") {
+  pool_fixture pool(1, 1);
+  pool.Submit("0000000000000001", pool_fixture::Step(1, 7), 2);
+  pool.Accept(pool.Plan());
+  // The small task started later, so it has lost less and is the cheaper victim.
+  pool.Pass(milliseconds(500));
+  pool.Submit("0000000000000002", pool_fixture::Step(1, 1), 2);
+  pool.Accept(pool.Plan());
+  pool.Submit(kUrgentJob, pool_fixture::Step(1, 7), 0);
+  std::set<std::string> stopped;
+  for (int i = 0; i < 20; ++i) {
+    pool.Pass(milliseconds(100));
+    for (const worker_order& order : pool.Plan()) {
+      if (!order.is_start) stopped.insert(order.task.substr(0, 16));
+    }
+  }
+  CHECK(stopped == std::set<std::string>{"0000000000000001"});
+}
+
+// Guards against a gang that starts in part.
+TEST_CASE("a gang that does not fit whole does not start", "[pool]") {
+  pool_fixture pool(2, 2);
+  pool.Submit("0000000000000001", pool_fixture::Step(1, 8));
+  pool.Accept(pool.Plan());
+  pool.Submit(kJob, pool_fixture::Step(2, 8, true));
+  CHECK(pool.Plan().empty());
+}
+
+// Guards against gangs that run several times longer since they are spread over racks.
+TEST_CASE("a gang that asks for one rack gets one", "[pool]") {
+  pool_fixture pool(4, 2);
+  pool.Submit("0000000000000001", pool_fixture::Step(1, 4));
+  pool.Accept(pool.Plan());
+  step_request step = pool_fixture::Step(2, 8, true);
+  step.same_rack = true;
+  pool.Submit(kJob, step);
+  std::set<std::string> racks;
+  for (const worker_order& order : pool.Plan()) {
+    racks.insert(pool.state.workers().at(order.worker).registration.rack);
+  }
+  CHECK(racks.size() == 1);
+}
+
+// Guards against exceeding the limit of a step on one worker.
+TEST_CASE("at most the step's limit of tasks start on one worker", "[pool]") {
+  pool_fixture pool(2, 2);
+  step_request step = pool_fixture::Step(6, 1);
+  step.max_per_worker = 2;
+  pool.Submit(kJob, step);
+  std::map<std::string, int> on_worker;
+  for (const worker_order& order : pool.Plan()) ++on_worker[order.worker];
+  CHECK(on_worker.size() == 2);
+  for (const auto& [worker, count] : on_worker) CHECK(count == 2);
+}
+
+}  // namespace hickorystall::tests
--- /dev/null
+++ b/tests/state/pool/pool_state_test.cpp
@@ -0,0 +1,134 @@
+// Failures that played days and hunts showed in the pool's tables, each as a few steps.
+#include "state/pool/pool_state.h"
+
+#include <catch2/catch.hpp>
+
+#include "state/pool/pool_fixture.h"
+
+namespace hickorystall::tests {
+
+using namespace state::pool;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr char kJob[] = "00000000000000aa";
+
+std::string Task(int index) { return TaskName(kJob, 0, 0, index); }
+
+}  // namespace
+
+// Guards against a start beyond the allowed attempts: failed ends of one task lie on different workers, and a
+// new owner reads them in any order.
+TEST_CASE("failed runs count in whatever order their ends are read", "[pool]") {
+  pool_fixture pool(4, 2, 2);
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  pool.state.MakeDueOccurrences(pool.now, pool.wall_now);
+  for (const std::int64_t run : {4, 1, 3, 2}) {
+    pool.List(pool_fixture::Worker(static_cast<int>(run) - 1), {},
+              {{1, Task(0), run, end_kind::kFailed, ""}});
+  }
+  CHECK(pool.state.jobs().at(kJob).phase == job_phase::kFailed);
+  CHECK(pool.Plan().empty());
+}
+
+// Guards against counting one attempt of a gang once for each of its members.
+TEST_CASE("a gang's failed run counts once", "[pool]") {
+  pool_fixture pool;
+  pool.Submit(kJob, pool_fixture::Step(2, 1, true));
+  pool.Accept(pool.Plan());
+  const std::int64_t run = pool.state.FindUnit({kJob, 0, 0, 0})->last_run;
+  const std::string worker = pool.state.FindUnit({kJob, 0, 0, 0})->members[0].worker;
+  pool.List(worker, {}, {{1, Task(0), run, end_kind::kFailed, ""}, {2, Task(1), run, end_kind::kFailed, ""}});
+  CHECK(pool.state.FindUnit({kJob, 0, 0, 0})->failures() == 1);
+}
+
+// Guards against two runs of one task: after a change of owner one member of a gang is listed as failed while
+// the others still run for some milliseconds.
+TEST_CASE("a unit does not start while a task of it runs unaccounted", "[pool]") {
+  pool_fixture pool(4, 2, 2);
+  pool.Submit(kJob, pool_fixture::Step(2, 2, true));
+  pool.state.MakeDueOccurrences(pool.now, pool.wall_now);
+  pool.List(pool_fixture::Worker(0), {{Task(1), 1, "", 50}}, {{1, Task(0), 1, end_kind::kFailed, ""}});
+  for (const worker_order& order : pool.Plan()) CHECK_FALSE(order.is_start);
+  pool.List(pool_fixture::Worker(0), {}, {{2, Task(1), 1, end_kind::kGangMemberLost, ""}});
+  CHECK(pool.Plan().size() == 2);
+}
+
+// Guards against starting what a former owner left running on a worker that the new owner has not reached.
+TEST_CASE("nothing that a former owner may have started starts before its workers are known", "[pool]") {
+  pool_fixture pool(2, 2, 2);
+  pool.state.AddFormerWorker("silent", "10.0.0.9:1", pool.now + seconds(6));
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  CHECK(pool.Plan().empty());
+  pool.state.TakeSilence("silent", pool.now);
+  pool.Pass(seconds(7));
+  // The lease is over, but the ownership was last confirmed before that.
+  pool.state.ExpireLeases(pool.now, pool.now - seconds(2));
+  CHECK(pool.Plan().empty());
+  pool.state.ExpireLeases(pool.now, pool.now);
+  CHECK(pool.Plan().size() == 1);
+}
+
+// Guards against a stall after each change of owner: a job that was stored after it cannot run anywhere.
+TEST_CASE("a job that no former owner has seen starts at once", "[pool]") {
+  pool_fixture pool(2, 2, 2);
+  pool.state.AddFormerWorker("silent", "10.0.0.9:1", pool.now + seconds(6));
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  pool.state.jobs().at(kJob).is_unseen_by_predecessors = true;
+  CHECK(pool.Plan().size() == 1);
+}
+
+// Guards against two runs of one task on a worker that is cut off and runs on.
+TEST_CASE("the run on a silent worker is given up only after its lease", "[pool]") {
+  pool_fixture pool;
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  const std::vector<worker_order> orders = pool.Plan();
+  REQUIRE(orders.size() == 1);
+  pool.state.GiveLease(orders[0].worker, pool.now);
+  pool.Accept(orders);
+  pool.state.TakeSilence(orders[0].worker, pool.now);
+  pool.Pass(milliseconds(6200));
+  pool.state.ExpireLeases(pool.now, pool.now);
+  CHECK(pool.Plan().empty());
+  pool.Pass(milliseconds(300));
+  pool.state.ExpireLeases(pool.now, pool.now);
+  const std::vector<worker_order> again = pool.Plan();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].worker != orders[0].worker);
+  CHECK(again[0].run > orders[0].run);
+}
+
+// Guards against a second run beside an order that is carried out seconds late: only the stop settles it.
+TEST_CASE("a start without an answer holds its task until a stop has settled it", "[pool]") {
+  pool_fixture pool;
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  const std::vector<worker_order> orders = pool.Plan();
+  REQUIRE(orders.size() == 1);
+  pool.state.TakeStartAnswer(orders[0].task, orders[0].run, start_answer::kNoAnswer, pool.now);
+  const std::vector<worker_order> stop = pool.Plan();
+  REQUIRE(stop.size() == 1);
+  CHECK_FALSE(stop[0].is_start);
+  pool.List(orders[0].worker, {});
+  CHECK(pool.Plan().empty());
+  pool.state.TakeStopAnswer(orders[0].worker, orders[0].task, orders[0].run);
+  pool.List(orders[0].worker, {});
+  CHECK(pool.Plan().size() == 1);
+}
+
+// Guards against lists that were asked for before the start was answered.
+TEST_CASE("an older list does not end a run that it could not show", "[pool]") {
+  pool_fixture pool;
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  const std::vector<worker_order> orders = pool.Plan();
+  REQUIRE(orders.size() == 1);
+  const std::int64_t asked = pool.state.NextOrder();
+  pool.Accept(orders);
+  worker_lists lists;
+  lists.born = 5;
+  pool.state.TakeLists(orders[0].worker, lists, asked, pool.now);
+  CHECK_FALSE(pool.state.FindUnit({kJob, 0, 0, 0})->IsIdle());
+}
+
+}  // namespace hickorystall::tests
