Learn per queue how far declared run times can be trusted

Ruled out: a mean ratio of actual to declared time, which keeps the error of each declaration. Change: a regression in logarithms per queue, beginning at full trust; the plan's due times, distance rule and remaining times use it.

--- a/src/state/pool/job_entry.h
+++ b/src/state/pool/job_entry.h
@@ -73,6 +73,8 @@
   std::set<std::string> failed_on;
   /// When it became ready to run.
   boot_time ready_at{};
+  /// True when its latest run does the whole work at full speed, so that its length can be learned from.
+  bool shows_run_time = false;
   /// When its latest run was ordered.
   boot_time started_at{};
   /// When `checkpoint` last changed.
--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -125,7 +125,8 @@
     const milliseconds ran = now_ - entry.unit->started_at;
     // Below this share the rate is too coarse to extrapolate.
     constexpr int kLeastPercent = 5;
-    if (member.percent < kLeastPercent) return std::max(milliseconds(0), entry.step->estimate - ran);
+    if (member.percent < kLeastPercent)
+      return std::max(milliseconds(0), state_.ExpectedTime(*entry.job, *entry.step) - ran);
     return ran * (100 - member.percent) / member.percent;
   }
 
@@ -162,7 +163,7 @@
     const unit_shape shape = MakeShape(entry);
     const placement_reach reach = Reach(entry, shape);
     if (const auto places = PlaceUnit(free_, shape, reach)) {
-      Start(entry, *places);
+      Start(entry, *places, reach);
       return true;
     }
     if (const auto places = PlaceUnit(soon_, shape, reach)) {
@@ -172,19 +173,21 @@
     return entry.priority == 0 && entry.prospect != job_prospect::kHopeless && Preempt(entry, shape, reach);
   }
 
+  // True when distance makes the step's tasks slower.
+  static bool IsBound(const step_request& step) { return step.same_rack || !step.data_rack.empty(); }
+
   // Far placement is right when a near one is impossible, or when waiting has cost as much as distance would.
   placement_reach Reach(const waiting_unit& entry, const unit_shape& shape) const {
-    const bool bound = entry.step->same_rack || !entry.step->data_rack.empty();
-    if (!bound) return placement_reach::kAnywhere;
+    if (!IsBound(*entry.step)) return placement_reach::kAnywhere;
     if (!FitsNearWhenEmpty(free_, shape)) return placement_reach::kAnywhere;
     const auto waited = now_ - entry.unit->ready_at;
-    const auto extra =
-        static_cast<double>(entry.step->estimate.count()) * (state_.settings().far_factor - 1.0);
+    const auto extra = static_cast<double>(state_.ExpectedTime(*entry.job, *entry.step).count()) *
+                       (state_.settings().far_factor - 1.0);
     return static_cast<double>(waited.count()) > extra ? placement_reach::kAnywhere : placement_reach::kNear;
   }
 
-  void Start(const waiting_unit& entry, const std::vector<int>& places) {
-    planned_start start{entry.position, {}};
+  void Start(const waiting_unit& entry, const std::vector<int>& places, placement_reach reach) {
+    planned_start start{entry.position, {}, reach == placement_reach::kAnywhere && IsBound(*entry.step)};
     for (const int place : places) {
       start.workers.push_back(free_[place].worker->registration.id);
       placed_now_.emplace_back(entry.position, start.workers.back());
--- a/src/state/pool/pool_plan.h
+++ b/src/state/pool/pool_plan.h
@@ -12,6 +12,8 @@
   unit_position position;
   /// Worker of each member.
   std::vector<std::string> workers;
+  /// True when the tasks are away from their rack or data, and so take longer.
+  bool is_far = false;
 };
 
 /// A unit to stop.
--- a/src/state/pool/pool_state.cpp
+++ b/src/state/pool/pool_state.cpp
@@ -219,7 +219,7 @@
 }
 
 void pool_state::StartUnit(const unit_position& position, const std::vector<std::string>& workers,
-                           boot_time now) {
+                           boot_time now, bool is_far) {
   work_unit* unit = FindUnit(position);
   assert(unit != nullptr && unit->IsIdle() && !unit->done && workers.size() == unit->members.size());
   job_entry& job = jobs_.at(position.job);
@@ -227,6 +227,7 @@
   unit->last_run = std::max(unit->last_run + 1, (epoch_ - 1) * kRunsPerEpoch + 1);
   unit->started_at = now;
   unit->checkpoint_at = now;
+  unit->shows_run_time = unit->checkpoint.empty() && !is_far;
   for (std::size_t i = 0; i < workers.size(); ++i) {
     worker_entry& worker = workers_.at(workers[i]);
     Occupy({&job, position, unit, &unit->members[i], &step}, worker, run_phase::kOrdered);
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -11,6 +11,7 @@
 #include "state/pool/pool_config.h"
 #include "state/pool/pool_event.h"
 #include "state/pool/pool_settings.h"
+#include "state/pool/run_time_model.h"
 #include "state/pool/worker_entry.h"
 
 namespace hickorystall::state::pool {
@@ -89,7 +90,8 @@
   void ExpireLeases(boot_time now, boot_time confirmed_at);
 
   /// Starts `unit` on `workers`, one entry a member.
-  void StartUnit(const unit_position& position, const std::vector<std::string>& workers, boot_time now);
+  void StartUnit(const unit_position& position, const std::vector<std::string>& workers, boot_time now,
+                 bool is_far = false);
   /// Stops all runs of a unit, keeping its checkpoint.
   void StopUnit(const unit_position& position, const std::string& reason);
 
@@ -114,6 +116,10 @@
   std::map<std::string, job_entry>& jobs() { return jobs_; }
   const std::map<std::string, worker_entry>& workers() const { return workers_; }
   worker_entry* FindWorker(const std::string& id);
+  /// Run time to expect of one task of `step` of `job`.
+  std::chrono::milliseconds ExpectedTime(const job_entry& job, const step_request& step) const {
+    return run_times_.Predict(job.submission.queue, step.estimate);
+  }
   const pool_config* config() const { return config_.get(); }
   const pool_settings& settings() const { return settings_; }
   work_unit* FindUnit(const unit_position& position);
@@ -160,6 +166,7 @@
   std::shared_ptr<const pool_config> config_;
   std::map<std::string, job_entry> jobs_;
   std::map<std::string, worker_entry> workers_;
+  run_time_model run_times_;
   std::int64_t order_ = 0;
   std::vector<worker_order> orders_;
   std::vector<pool_event> events_;
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -161,6 +161,7 @@
       !unit.failed_runs.contains(run.run)) {
     // A run that an earlier owner started.
     unit.last_run = std::max(unit.last_run, run.run);
+    unit.shows_run_time = false;
     unit.started_at = now;
     Occupy(*place, worker, run_phase::kRunning);
     member.confirmed = true;
@@ -252,6 +253,10 @@
 void pool_state::TakeDone(const task_place& place, boot_time now) {
   work_unit& unit = *place.unit;
   unit.done = true;
+  if (unit.shows_run_time) {
+    run_times_.Learn(place.job->submission.queue, place.step->estimate, now - unit.started_at);
+    unit.shows_run_time = false;
+  }
   job_entry& job = *place.job;
   const auto found = job.occurrences.find(place.position.occurrence);
   --found->second.steps[place.position.step].open_units;
--- a/src/state/pool/unit_queue.cpp
+++ b/src/state/pool/unit_queue.cpp
@@ -19,13 +19,14 @@
   return need;
 }
 
-milliseconds WholeChain(const job_request& request) {
+milliseconds WholeChain(const pool_state& state, const job_entry& job) {
+  const job_request& request = job.submission.request;
   std::vector<milliseconds> ends(request.steps.size());
   milliseconds longest{0};
   for (std::size_t i = 0; i < request.steps.size(); ++i) {
     milliseconds start{0};
     for (const int earlier : request.steps[i].after) start = std::max(start, ends[earlier]);
-    ends[i] = start + request.steps[i].estimate;
+    ends[i] = start + state.ExpectedTime(job, request.steps[i]);
     longest = std::max(longest, ends[i]);
   }
   return longest;
@@ -36,17 +37,18 @@
   job_prospect prospect;
 };
 
-job_timing JudgeTiming(const job_entry& job, int occurrence, boot_time now, unix_time wall_now) {
+job_timing JudgeTiming(const pool_state& state, const job_entry& job, int occurrence, boot_time now,
+                       unix_time wall_now) {
   const job_submission& submission = job.submission;
   const job_request& request = submission.request;
-  const auto chain = static_cast<double>(WholeChain(request).count());
+  const auto chain = static_cast<double>(WholeChain(state, job).count());
   const milliseconds objective =
       milliseconds(static_cast<std::int64_t>(chain * submission.stretch)) + submission.target_latency;
   boot_time begin = job.accepted_at;
   if (request.occurrences > 0) {
     begin = now - (wall_now - unix_time(request.first_due + occurrence * request.interval));
   }
-  const boot_time end = now + OpenChain(job, occurrence);
+  const boot_time end = now + OpenChain(state, job, occurrence);
   job_timing timing{begin + objective, job_prospect::kInTime};
   if (end > begin + objective) timing.prospect = job_prospect::kLate;
   if (end > begin + kLateFactor * objective) timing.prospect = job_prospect::kHopeless;
@@ -95,7 +97,7 @@
   return within;
 }
 
-milliseconds OpenChain(const job_entry& job, int occurrence) {
+milliseconds OpenChain(const pool_state& state, const job_entry& job, int occurrence) {
   const job_request& request = job.submission.request;
   const auto found = job.occurrences.find(occurrence);
   std::vector<milliseconds> ends(request.steps.size());
@@ -104,7 +106,7 @@
     milliseconds start{0};
     for (const int earlier : request.steps[i].after) start = std::max(start, ends[earlier]);
     const bool open = found == job.occurrences.end() || found->second.steps[i].open_units > 0;
-    ends[i] = start + (open ? request.steps[i].estimate : milliseconds(0));
+    ends[i] = start + (open ? state.ExpectedTime(job, request.steps[i]) : milliseconds(0));
     longest = std::max(longest, ends[i]);
   }
   return longest;
@@ -119,7 +121,7 @@
     const int priority = QueuePriority(state, job);
     for (const auto& [number, occurrence] : job.occurrences) {
       if (occurrence.IsDone()) continue;
-      const job_timing timing = JudgeTiming(job, number, now, wall_now);
+      const job_timing timing = JudgeTiming(state, job, number, now, wall_now);
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
         if (!occurrence.steps[step].ready || occurrence.steps[step].open_units == 0) continue;
         const auto& units = occurrence.steps[step].units;
--- a/src/state/pool/unit_queue.h
+++ b/src/state/pool/unit_queue.h
@@ -47,7 +47,7 @@
 std::set<std::string> WorkspacesWithinGuarantee(const pool_state& state);
 
 /// Time that the longest chain of the job's open steps still takes with enough capacity.
-std::chrono::milliseconds OpenChain(const job_entry& job, int occurrence);
+std::chrono::milliseconds OpenChain(const pool_state& state, const job_entry& job, int occurrence);
 
 /// Returns the units that may start now, in the order in which they are considered. Guaranteed work goes
 /// first, then what can be in time by rank of its queue and by due time; late work follows within its rank;
--- a/tests/state/pool/pool_fixture.cpp
+++ b/tests/state/pool/pool_fixture.cpp
@@ -54,7 +54,8 @@
   state.MakeDueOccurrences(now, wall_now);
   const pool_plan plan = PlanPool(state, now, wall_now);
   for (const planned_stop& stop : plan.stops) state.StopUnit(stop.position, stop.reason);
-  for (const planned_start& start : plan.starts) state.StartUnit(start.position, start.workers, now);
+  for (const planned_start& start : plan.starts)
+    state.StartUnit(start.position, start.workers, now, start.is_far);
   return state.TakeOrders();
 }
 
