Relay calls to another VM when this one cannot reach the store

Change: VMs register in the store; a VM that cannot decide a call asks up to three others. An attempt without an answer now makes a refusal impossible; the answer is then 504. Tests of ownership, progress writer, front and relay against a store in memory that loses answers and applies writes late.

--- /dev/null
+++ b/src/coordination/pool/call_relay.cpp
@@ -0,0 +1,51 @@
+#include "coordination/pool/call_relay.h"
+
+#include <algorithm>
+
+#include "transport/boot_clock.h"
+
+namespace hickorystall::coordination::pool {
+
+using std::chrono::milliseconds;
+using transport::BootNow;
+
+namespace {
+
+// Time for one VM: it answers within the time that its own call to the store takes.
+constexpr milliseconds kPeerTimeout{500};
+// VMs that are tried for one call.
+constexpr std::size_t kMostPeers = 3;
+// Time that the answer needs to reach the client.
+constexpr milliseconds kAnswerMargin{150};
+// From this status on a VM has not decided the call.
+constexpr int kFirstServerError = 500;
+// Answer of a VM that does not know whether it has carried out the call.
+constexpr int kUnknownOutcome = 504;
+
+}  // namespace
+
+boost::asio::awaitable<relay_outcome> call_relay::Relay(transport::http_request request,
+                                                        state::pool::boot_time deadline) {
+  const std::vector<std::string> candidates = peers_.Candidates();
+  const std::size_t count = std::min(candidates.size(), kMostPeers);
+  relay_outcome outcome;
+  for (std::size_t i = 0; i < count; ++i) {
+    const milliseconds left = deadline - BootNow() - kAnswerMargin;
+    if (left <= milliseconds(0)) break;
+    transport::http_request copy = request;
+    transport::http_exchange exchange =
+        co_await client_.Send(candidates[i], std::move(copy), std::min(left, kPeerTimeout));
+    const bool answered = exchange.status.ok();
+    const bool decided = answered && exchange.response.status < kFirstServerError;
+    peers_.TakeOutcome(candidates[i], decided);
+    if (decided) {
+      outcome.response = std::move(exchange.response);
+      co_return outcome;
+    }
+    const bool unknown = answered ? exchange.response.status == kUnknownOutcome : exchange.bytes_sent;
+    outcome.is_doubtful = outcome.is_doubtful || unknown;
+  }
+  co_return outcome;
+}
+
+}  // namespace hickorystall::coordination::pool
--- /dev/null
+++ b/src/coordination/pool/call_relay.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <optional>
+
+#include "coordination/pool/peer_directory.h"
+#include "state/pool/pool_time.h"
+#include "transport/http_client.h"
+
+namespace hickorystall::coordination::pool {
+
+/// What became of a relayed call.
+struct relay_outcome {
+  /// Answer of the VM that decided the call; nothing when none did.
+  std::optional<transport::http_response> response;
+  /// True when a VM may have carried out the call without saying so.
+  bool is_doubtful = false;
+};
+
+/// Relays a client's call to another VM when this one cannot reach the store. Calls about jobs may be
+/// repeated at any VM, so a call that this VM has sent to the store without an answer is settled by the other
+/// VM as well.
+class call_relay {
+ public:
+  /// The arguments must outlive the relay.
+  call_relay(transport::http_client& client, peer_directory& peers) : client_(client), peers_(peers) {}
+
+  /// Returns the answer of the first VM that serves or refuses the call for good by `deadline`.
+  boost::asio::awaitable<relay_outcome> Relay(transport::http_request request,
+                                              state::pool::boot_time deadline);
+
+ private:
+  transport::http_client& client_;
+  peer_directory& peers_;
+};
+
+}  // namespace hickorystall::coordination::pool
--- /dev/null
+++ b/src/coordination/pool/peer_directory.cpp
@@ -0,0 +1,103 @@
+#include "coordination/pool/peer_directory.h"
+
+#include <algorithm>
+
+#include "coordination/pool/pool_tables.h"
+#include "transport/async_event.h"
+#include "transport/boot_clock.h"
+
+namespace hickorystall::coordination::pool {
+
+using std::chrono::milliseconds;
+using transport::BootNow;
+
+namespace {
+
+constexpr milliseconds kAnswerTimeout{1200};
+// VMs come and go a few times a day.
+constexpr milliseconds kFeedWait{10'000};
+constexpr milliseconds kRetryPause{500};
+// Time for which a peer that did not answer is tried last.
+constexpr milliseconds kAvoidTime{5000};
+
+}  // namespace
+
+peer_directory::peer_directory(pool_store& store, event_log& log, std::string vm, std::string address)
+    : store_(store), log_(log), vm_(std::move(vm)), address_(std::move(address)), next_(vm_.size()) {}
+
+boost::asio::awaitable<void> peer_directory::Run() {
+  while (!stopped_) {
+    bool answered = false;
+    if (!is_registered_) {
+      answered = co_await Register();
+    } else {
+      answered = co_await FollowOnce();
+    }
+    if (!answered) co_await transport::Sleep(kRetryPause);
+  }
+}
+
+boost::asio::awaitable<bool> peer_directory::Register() {
+  store_transaction transaction;
+  transaction.changes = {{kVmsTable, vm_, address_}};
+  const transaction_result result = co_await store_.Apply(std::move(transaction), kAnswerTimeout);
+  is_registered_ = result.outcome == transaction_outcome::kDone;
+  co_return is_registered_;
+}
+
+boost::asio::awaitable<bool> peer_directory::FollowOnce() {
+  rows_result result;
+  if (is_known_) {
+    result = co_await store_.Follow(kVmsTable, position_, kFeedWait, kAnswerTimeout);
+  } else {
+    result = co_await store_.ReadRange(kVmsTable, "", "", kAnswerTimeout);
+  }
+  if (absl::IsOutOfRange(result.status)) is_known_ = false;
+  if (!result.status.ok()) co_return false;
+  if (!is_known_) peers_.clear();
+  for (const stored_row& row : result.rows) TakeRow(row);
+  position_ = result.version;
+  is_known_ = true;
+  co_return true;
+}
+
+void peer_directory::TakeRow(const stored_row& row) {
+  if (row.key == vm_) return;
+  peers_.erase(row.key);
+  if (!row.removed) peers_[row.key].address = row.value;
+}
+
+boost::asio::awaitable<void> peer_directory::Leave() {
+  stopped_ = true;
+  store_transaction transaction;
+  transaction.changes = {{kVmsTable, vm_, std::nullopt}};
+  const transaction_result result = co_await store_.Apply(std::move(transaction), kAnswerTimeout);
+  if (result.outcome != transaction_outcome::kDone) {
+    // Peers then find out by a call that is not answered.
+    log_.Write("peers", "row not removed", {});
+  }
+}
+
+std::vector<std::string> peer_directory::Candidates() {
+  const state::pool::boot_time now = BootNow();
+  std::vector<const peer*> peers;
+  for (const auto& [vm, peer] : peers_) peers.push_back(&peer);
+  if (peers.empty()) return {};
+  std::rotate(peers.begin(), peers.begin() + static_cast<std::ptrdiff_t>(next_++ % peers.size()),
+              peers.end());
+  std::stable_partition(peers.begin(), peers.end(),
+                        [now](const peer* candidate) { return now >= candidate->avoided_until; });
+  std::vector<std::string> addresses;
+  for (const peer* candidate : peers) addresses.push_back(candidate->address);
+  return addresses;
+}
+
+void peer_directory::TakeOutcome(const std::string& address, bool answered) {
+  for (auto& [vm, peer] : peers_) {
+    if (peer.address == address) {
+      peer.avoided_until = answered ? state::pool::boot_time{} : BootNow() + kAvoidTime;
+    }
+  }
+}
+
+}  // namespace hickorystall::coordination::pool
--- a/src/coordination/pool/pool_tables.h
+++ b/src/coordination/pool/pool_tables.h
@@ -19,6 +19,8 @@
 inline constexpr char kLeaseKey[] = "lease";
 /// Row that lists the workers that may have got orders.
 inline constexpr char kWorkersKey[] = "workers";
+/// Addresses of the system's VMs by name.
+inline constexpr char kVmsTable[] = "vms";
 /// Ends the key of a cancellation. Job ids have no dot.
 inline constexpr char kCancelSuffix[] = ".cancel";
 /// Comes after all keys that begin with a job's id and a dot.
--- /dev/null
+++ b/tests/coordination/pool/call_relay_test.cpp
@@ -0,0 +1,93 @@
+#include "coordination/pool/call_relay.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+
+#include "coordination/pool/memory_store.h"
+#include "coordination/pool/pool_tables.h"
+#include "protocol/error_response.h"
+#include "transport/async_event.h"
+#include "transport/boot_clock.h"
+#include "transport/http_server.h"
+
+namespace hickorystall::tests {
+
+namespace asio = boost::asio;
+using namespace coordination::pool;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+namespace {
+
+// A VM that answers every relayed call with `status`; 0 keeps silent.
+std::unique_ptr<transport::http_server> MakePeer(transport::worker_pool& pool, int status) {
+  auto server = std::make_unique<transport::http_server>(
+      pool, transport::http_server_settings{},
+      [status](transport::http_request) -> asio::awaitable<transport::http_response> {
+        if (status == 0) co_await transport::Sleep(std::chrono::seconds(2));
+        co_return transport::JsonResponse(status == 0 ? 200 : status, "{}");
+      },
+      protocol::MakeReadFailureResponse);
+  REQUIRE(server->Start().ok());
+  return server;
+}
+
+relay_outcome RelayTo(const std::vector<int>& statuses) {
+  transport::worker_pool pool(1);
+  std::vector<std::unique_ptr<transport::http_server>> servers;
+  memory_store store;
+  store_transaction rows;
+  for (const int status : statuses) {
+    servers.push_back(MakePeer(pool, status));
+    rows.changes.push_back({kVmsTable, "vm-" + std::to_string(servers.size()),
+                            "127.0.0.1:" + std::to_string(servers.back()->port())});
+  }
+  store.ApplyNow(rows);
+  static event_log log("relay-test");
+  transport::http_client client(pool, {});
+  // The length of the name is the first peer to be tried: 3 of 3.
+  peer_directory peers(store, log, statuses.size() == 3 ? "own" : "xx", "127.0.0.1:1");
+  call_relay relay(client, peers);
+  std::promise<relay_outcome> outcome;
+  asio::co_spawn(
+      pool.context(0),
+      [&]() -> asio::awaitable<void> {
+        asio::co_spawn(pool.context(0), peers.Run(), [](const std::exception_ptr&) {});
+        co_await transport::Sleep(milliseconds(100));
+        transport::http_request request;
+        request.method = "POST";
+        relay_outcome result =
+            co_await relay.Relay(std::move(request), transport::BootNow() + std::chrono::seconds(3));
+        peers.Stop();
+        outcome.set_value(std::move(result));
+      },
+      [](const std::exception_ptr&) {});
+  pool.Start();
+  relay_outcome result = outcome.get_future().get();
+  pool.Stop();
+  return result;
+}
+
+}  // namespace
+
+TEST_CASE("a relayed call is answered by the first VM that decides it", "[pool]") {
+  const relay_outcome outcome = RelayTo({503, 503, 200});
+  REQUIRE(outcome.response.has_value());
+  CHECK(outcome.response->status == 200);
+}
+
+// Guards against "did not run" while a silent VM may have stored the job: on a day with a slow store clients
+// were told 503 and their jobs ran.
+TEST_CASE("a VM that keeps silent makes the outcome doubtful", "[pool]") {
+  const relay_outcome outcome = RelayTo({0, 0});
+  CHECK_FALSE(outcome.response.has_value());
+  CHECK(outcome.is_doubtful);
+}
+
+TEST_CASE("refusals of all VMs are no doubt", "[pool]") {
+  const relay_outcome outcome = RelayTo({503, 503});
+  CHECK_FALSE(outcome.response.has_value());
+  CHECK_FALSE(outcome.is_doubtful);
+}
+
+}  // namespace hickorystall::tests
--- /dev/null
+++ b/tests/coordination/pool/memory_store.cpp
@@ -0,0 +1,99 @@
+#include "coordination/pool/memory_store.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "transport/async_event.h"
+
+namespace hickorystall::tests {
+
+namespace asio = boost::asio;
+using namespace coordination::pool;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+transaction_result memory_store::ApplyNow(const store_transaction& transaction) {
+  transaction_result result;
+  bool holds = true;
+  for (const row_condition& condition : transaction.conditions) {
+    const auto found = rows_.find({condition.table, condition.key});
+    stored_row row =
+        found == rows_.end() ? stored_row{condition.table, condition.key, "", 0, false} : found->second;
+    holds = holds && row.version == condition.version;
+    result.current.push_back(std::move(row));
+  }
+  if (!holds) {
+    result.outcome = transaction_outcome::kConflict;
+    return result;
+  }
+  ++version_;
+  for (const row_change& change : transaction.changes) {
+    stored_row row{change.table, change.key, change.value.value_or(""), version_, !change.value.has_value()};
+    history_.push_back(row);
+    if (change.value) {
+      rows_[{change.table, change.key}] = std::move(row);
+    } else {
+      rows_.erase({change.table, change.key});
+    }
+  }
+  result.outcome = transaction_outcome::kDone;
+  result.version = version_;
+  result.current.clear();
+  return result;
+}
+
+asio::awaitable<transaction_result> memory_store::Apply(store_transaction transaction, milliseconds timeout) {
+  ++writes;
+  (void)timeout;
+  co_await transport::Sleep(milliseconds(1));
+  transaction_result unknown;
+  if (is_down) co_return unknown;
+  if (late_writes > 0) {
+    --late_writes;
+    kept.push_back(std::move(transaction));
+    co_return unknown;
+  }
+  transaction_result result = ApplyNow(transaction);
+  if (lost_answers > 0) {
+    --lost_answers;
+    co_return unknown;
+  }
+  co_return result;
+}
+
+asio::awaitable<rows_result> memory_store::ReadRange(std::string table, std::string from, std::string to,
+                                                     milliseconds timeout) {
+  (void)timeout;
+  co_await transport::Sleep(milliseconds(1));
+  rows_result result;
+  result.version = version_;
+  if (is_down) result.status = absl::UnavailableError("down");
+  for (const auto& [name, row] : rows_) {
+    if (name.first == table && name.second >= from && (to.empty() || name.second < to))
+      result.rows.push_back(row);
+  }
+  co_return result;
+}
+
+asio::awaitable<rows_result> memory_store::Follow(std::string table, std::int64_t version, milliseconds wait,
+                                                  milliseconds timeout) {
+  (void)timeout;
+  const auto end = std::chrono::steady_clock::now() + wait;
+  rows_result result;
+  while (true) {
+    result.version = version_;
+    if (is_down) result.status = absl::UnavailableError("down");
+    for (const stored_row& row : history_) {
+      if (row.table == table && row.version > version) result.rows.push_back(row);
+    }
+    if (is_down || !result.rows.empty() || std::chrono::steady_clock::now() >= end) co_return result;
+    co_await transport::Sleep(milliseconds(2));
+  }
+}
+
+std::string memory_store::Value(const std::string& table, const std::string& key) const {
+  const auto found = rows_.find({table, key});
+  return found == rows_.end() ? "" : found->second.value;
+}
+
+}  // namespace hickorystall::tests
--- /dev/null
+++ b/tests/coordination/pool/ownership_test.cpp
@@ -0,0 +1,234 @@
+// Ownership, stored progress and clients' calls against a store that loses answers, applies writes late and
+// is away.
+#include "coordination/pool/ownership.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "coordination/pool/job_front.h"
+#include "coordination/pool/memory_store.h"
+#include "coordination/pool/pool_tables.h"
+#include "coordination/pool/progress_writer.h"
+#include "coordination/run_coroutine.h"
+#include "transport/async_event.h"
+#include "transport/boot_clock.h"
+
+namespace hickorystall::tests {
+
+namespace asio = boost::asio;
+using namespace coordination::pool;  // NOLINT(google-build-using-namespace)
+using namespace state::pool;         // NOLINT(google-build-using-namespace)
+using coordination::RunCoroutine;
+using std::chrono::milliseconds;
+using transport::BootNow;
+
+namespace {
+
+event_log& Log() {
+  static event_log log("test");
+  return log;
+}
+
+ownership_settings Settings(const std::string& vm, const std::string& life) {
+  ownership_settings settings;
+  settings.instance = vm;
+  settings.address = vm + ":1";
+  settings.life = life;
+  settings.renewal = milliseconds(20);
+  settings.suspicion = milliseconds(80);
+  settings.authority = milliseconds(200);
+  settings.margin = milliseconds(20);
+  return settings;
+}
+
+// Runs `work` while `running` follow the ownership; stops them afterwards.
+void RunWith(std::vector<ownership*> running, std::function<asio::awaitable<void>()> work) {
+  asio::io_context loop;
+  for (ownership* entry : running) asio::co_spawn(loop, entry->Run(), asio::detached);
+  asio::co_spawn(
+      loop,
+      [&]() -> asio::awaitable<void> {
+        co_await work();
+        for (ownership* entry : running) entry->Stop();
+      },
+      [](const std::exception_ptr& failure) {
+        if (failure) std::rethrow_exception(failure);
+      });
+  loop.run();
+}
+
+}  // namespace
+
+// Guards against two owners that each believe to be the only one for good.
+TEST_CASE("one of two VMs becomes the owner", "[pool]") {
+  memory_store store;
+  ownership first(store, Log(), Settings("a", "a1"));
+  ownership second(store, Log(), Settings("b", "b1"));
+  RunWith({&first, &second}, []() -> asio::awaitable<void> { co_await transport::Sleep(milliseconds(300)); });
+  CHECK(store.Value(kOwnershipTable, kEpochKey).find("\"epoch\":1") != std::string::npos);
+}
+
+// Guards against orders of an owner that cannot reach the store, long after another has taken over.
+TEST_CASE("an owner without the store loses its authority", "[pool]") {
+  memory_store store;
+  ownership owner(store, Log(), Settings("a", "a1"));
+  RunWith({&owner}, [&]() -> asio::awaitable<void> {
+    co_await transport::Sleep(milliseconds(100));
+    CHECK(owner.HasAuthority());
+    store.is_down = true;
+    co_await transport::Sleep(milliseconds(300));
+    CHECK_FALSE(owner.HasAuthority());
+    CHECK(owner.is_owner());
+    store.is_down = false;
+    co_await transport::Sleep(milliseconds(300));
+    CHECK(owner.HasAuthority());
+    CHECK(owner.epoch() == 1);
+  });
+}
+
+// Guards against a takeover by a VM that merely could not see the renewals.
+TEST_CASE("silence of the store is not silence of the owner", "[pool]") {
+  memory_store store;
+  const store_transaction lease{
+      {},
+      {{kOwnershipTable, kEpochKey, R"({"epoch":4})"},
+       {kOwnershipTable, kLeaseKey, R"({"holder":"x","vm":"x","address":"x:1","epoch":4})"}}};
+  store.ApplyNow(lease);
+  ownership other(store, Log(), Settings("b", "b1"));
+  RunWith({&other}, [&]() -> asio::awaitable<void> {
+    co_await transport::Sleep(milliseconds(40));
+    store.is_down = true;
+    co_await transport::Sleep(milliseconds(200));
+    store.is_down = false;
+    co_await transport::Sleep(milliseconds(50));
+    CHECK_FALSE(other.is_owner());
+    co_await transport::Sleep(milliseconds(400));
+    CHECK(other.epoch() == 5);
+    // The former owner may still give orders for its authority.
+    CHECK(other.predecessor_quiet_at() > BootNow() - milliseconds(400));
+  });
+}
+
+// Guards against seconds without starts after all VMs were restarted: the former life on this VM has ended.
+TEST_CASE("a restarted process takes over from itself at once", "[pool]") {
+  memory_store store;
+  const store_transaction lease{
+      {},
+      {{kOwnershipTable, kEpochKey, R"({"epoch":4})"},
+       {kOwnershipTable, kLeaseKey, R"({"holder":"b0","vm":"b","address":"b:1","epoch":4})"}}};
+  store.ApplyNow(lease);
+  ownership_settings settings = Settings("b", "b1");
+  settings.suspicion = std::chrono::seconds(10);
+  ownership owner(store, Log(), settings);
+  RunWith({&owner}, [&]() -> asio::awaitable<void> {
+    co_await transport::Sleep(milliseconds(100));
+    CHECK(owner.epoch() == 5);
+    CHECK(owner.predecessor_quiet_at() <= BootNow());
+  });
+}
+
+// Guards against a lost renewal answer that makes the owner give the pool up.
+TEST_CASE("a lost answer to a renewal keeps the ownership", "[pool]") {
+  memory_store store;
+  ownership owner(store, Log(), Settings("a", "a1"));
+  RunWith({&owner}, [&]() -> asio::awaitable<void> {
+    co_await transport::Sleep(milliseconds(100));
+    store.lost_answers = 1;
+    co_await transport::Sleep(milliseconds(400));
+    CHECK(owner.epoch() == 1);
+    CHECK(owner.HasAuthority());
+  });
+}
+
+// Guards against a write that is applied seconds late and undoes newer progress.
+TEST_CASE("a late write of progress does not undo a newer one", "[pool]") {
+  memory_store store;
+  ownership owner(store, Log(), Settings("a", "a1"));
+  RunWith({&owner}, [&]() -> asio::awaitable<void> {
+    co_await transport::Sleep(milliseconds(60));
+    job_entry job;
+    job.submission.id = "00000000000000aa";
+    job.submission.request.steps.resize(1);
+    const store_transaction accepted{{}, {{kProgressTable, job.submission.id, EncodeProgress(job)}}};
+    job.row_version = store.ApplyNow(accepted).version;
+    pool_state state(pool_settings{}, owner.epoch());
+    state.AddJob(job, BootNow());
+    state.MakeDueOccurrences(BootNow(), unix_time{});
+    const auto executor = co_await asio::this_coro::executor;
+    progress_writer writer(store, Log(), owner, state, executor);
+    asio::co_spawn(executor, writer.Run(), asio::detached);
+    worker_registration worker;
+    worker.id = "w";
+    state.SetRegistration(worker, BootNow());
+    state.StartUnit({job.submission.id, 0, 0, 0}, {"w"}, BootNow());
+    const int renewals_before = store.writes;
+    (void)renewals_before;
+    // The write of the start is kept and applied after that of the cancellation.
+    while (store.kept.empty()) {
+      store.late_writes = 1;
+      co_await transport::Sleep(milliseconds(5));
+      std::erase_if(store.kept, [](const store_transaction& entry) {
+        return entry.changes.front().table != kProgressTable;
+      });
+    }
+    store.late_writes = 0;
+    state.CancelJob(job.submission.id, BootNow());
+    const bool stored = co_await writer.WaitStored(std::chrono::seconds(2));
+    CHECK(stored);
+    CHECK(store.ApplyNow(store.kept.front()).outcome == transaction_outcome::kConflict);
+    CHECK(store.Value(kProgressTable, job.submission.id).find("cancelled") != std::string::npos);
+    writer.Stop();
+    co_await transport::Sleep(milliseconds(20));
+  });
+}
+
+// Guards against "did not run" for a submission whose answer was lost after the store took it.
+TEST_CASE("a submission whose answer was lost is accepted", "[pool]") {
+  memory_store store;
+  job_front front(store, Log());
+  job_submission submission;
+  submission.id = "00000000000000aa";
+  submission.workspace = "w";
+  submission.request.steps.resize(1);
+  store.lost_answers = 1;
+  const front_answer answer = RunCoroutine(front.Submit(submission, BootNow() + std::chrono::seconds(3)));
+  CHECK_FALSE(answer.refusal.has_value());
+}
+
+// Guards against the same: without any answer the outcome is open.
+TEST_CASE("a submission without an answer is not said to be refused", "[pool]") {
+  memory_store store;
+  job_front front(store, Log());
+  job_submission submission;
+  submission.id = "00000000000000aa";
+  submission.request.steps.resize(1);
+  store.is_down = true;
+  const front_answer answer = RunCoroutine(front.Submit(submission, BootNow() + milliseconds(400)));
+  REQUIRE(answer.refusal.has_value());
+  CHECK(*answer.refusal == state::error_kind::kOutcomeUnknown);
+}
+
+// Guards against a second job of the same id.
+TEST_CASE("a repeated submission remains one job", "[pool]") {
+  memory_store store;
+  job_front front(store, Log());
+  job_submission submission;
+  submission.id = "00000000000000aa";
+  submission.workspace = "w";
+  submission.request.steps.resize(1);
+  const auto deadline = BootNow() + std::chrono::seconds(3);
+  CHECK_FALSE(RunCoroutine(front.Submit(submission, deadline)).refusal.has_value());
+  const std::string stored = store.Value(kJobsTable, submission.id);
+  CHECK_FALSE(RunCoroutine(front.Submit(submission, deadline)).refusal.has_value());
+  CHECK(store.Value(kJobsTable, submission.id) == stored);
+  const front_answer cancelled = RunCoroutine(front.Cancel("w", submission.id, deadline));
+  CHECK_FALSE(cancelled.refusal.has_value());
+  CHECK(RunCoroutine(front.ReadState("w", submission.id)).phase == job_phase::kCancelled);
+  const front_answer unknown = RunCoroutine(front.ReadState("w", "00000000000000bb"));
+  REQUIRE(unknown.refusal.has_value());
+  CHECK(*unknown.refusal == state::error_kind::kJobUnknown);
+}
+
+}  // namespace hickorystall::tests
