--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -14,4 +14,9 @@
 check transport 'protocol|coordination|programs'
 check protocol 'coordination|programs'
 check coordination 'programs'
+# The wire names of the users' platform stand in its adapter only.
+if git grep -nE 'ackCursor|fencingToken|rowVersion|run-start|run-stop|checkpointData|apiKeys|maxPerServer|X-Hickorystall' -- src; then
+  echo "src must not name fields or calls of the platform; platform/ translates them"
+  failed=1
+fi
 exit $failed
--- a/src/coordination/pool/event_log.cpp
+++ b/src/coordination/pool/event_log.cpp
@@ -4,6 +4,8 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include "state/metrics/request_metrics.h"
+
 namespace hickorystall::coordination::pool {
 namespace {
 
@@ -22,6 +24,7 @@
 event_log::~event_log() { spdlog::shutdown(); }
 
 void event_log::Write(std::string_view part, std::string_view event, const log_fields& fields) {
+  ++counters_[{std::string(part), std::string(event)}];
   std::string line(part);
   line += ": ";
   line += event;
@@ -39,6 +42,16 @@
   logger_->info(line);
 }
 
+std::string event_log::CountersToText() const {
+  std::string text = "# TYPE hickorystall_events_total counter\n";
+  for (const auto& [name, count] : counters_) {
+    text += "hickorystall_events_total{part=\"" + state::EscapeLabel(name.first) + "\",event=\"" +
+            state::EscapeLabel(name.second) + "\"} " + std::to_string(count) + "\n";
+  }
+  text += "# TYPE hickorystall_log_records_dropped_total counter\n";
+  return text + "hickorystall_log_records_dropped_total " + std::to_string(dropped()) + "\n";
+}
+
 std::uint64_t event_log::dropped() const { return spdlog::thread_pool()->overrun_counter(); }
 
 }  // namespace hickorystall::coordination::pool
--- a/src/coordination/pool/event_log.h
+++ b/src/coordination/pool/event_log.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -31,10 +32,14 @@
   void Write(std::string_view part, std::string_view event, const log_fields& fields);
   /// Records dropped since the start.
   std::uint64_t dropped() const;
+  /// Numbers of records by part and event, in the Prometheus text format (version 0.0.4).
+  std::string CountersToText() const;
 
  private:
   const std::string instance_;
   std::shared_ptr<spdlog::logger> logger_;
+  // Used by the thread that writes records.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> counters_;
 };
 
 }  // namespace hickorystall::coordination::pool
--- a/src/coordination/pool/peer_directory.cpp
+++ b/src/coordination/pool/peer_directory.cpp
@@ -88,6 +88,7 @@
   std::stable_partition(peers.begin(), peers.end(),
                         [now](const peer* candidate) { return now >= candidate->avoided_until; });
   std::vector<std::string> addresses;
+  addresses.reserve(peers.size());
   for (const peer* candidate : peers) addresses.push_back(candidate->address);
   return addresses;
 }
--- a/src/state/pool/job_entry.h
+++ b/src/state/pool/job_entry.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "state/pool/job_request.h"
@@ -152,7 +153,11 @@
   int occurrence = 0;
   int step = 0;
   int unit = 0;
-  friend auto operator<=>(const unit_position&, const unit_position&) = default;
+  friend bool operator<(const unit_position& left, const unit_position& right) {
+    return std::tie(left.job, left.occurrence, left.step, left.unit) <
+           std::tie(right.job, right.occurrence, right.step, right.unit);
+  }
+  friend bool operator==(const unit_position&, const unit_position&) = default;
 };
 
 /// Name of a task on workers: JOB.OCCURRENCE.STEP.INDEX.
--- a/src/state/pool/unit_placement.cpp
+++ b/src/state/pool/unit_placement.cpp
@@ -79,6 +79,7 @@
     groups[by_rack ? std::string_view(rack) : std::string_view()].push_back(static_cast<int>(i));
   }
   std::vector<std::vector<int>> result;
+  result.reserve(groups.size());
   for (auto& [rack, group] : groups) result.push_back(std::move(group));
   return result;
 }
