Record each start before it is ordered, so that a silent worker holds only its own tasks after a change of owner

One worker had left in the second before; the new owner waited for its last lease, since starts were not stored and it might have run anything. The same comes with every lost VM of an owner while any worker is away. Ruled out: slow loading (42 ms), slow lists (all other workers within 10 ms); a shorter lease, which loses more running work. Change: a unit's row names its latest run and the workers, written in the owner's batch before the order is sent. A new owner holds back only units whose recorded workers it has not read. Run numbers are stored with it and begin at 1. Nothing is planned before every worker has answered or kept silent once, and nothing while the store confirms no writes. Another life at a worker's address ends the wait for its lease. Progress counts from the answer to the start. The rule that jobs stored after the takeover may start is gone with its flag.

--- a/src/coordination/pool/pool_codec.cpp
+++ b/src/coordination/pool/pool_codec.cpp
@@ -41,12 +41,19 @@
   return step;
 }
 
-// A unit is 0 when nothing happened to it, 1 when it is done, and an object in between.
+// A unit is 0 when nothing happened to it, 1 when it is done, and an object in between. It names the workers
+// on which its latest start may run.
 json EncodeUnit(const work_unit& unit) {
   if (unit.done) return 1;
-  if (unit.failed_runs.empty() && unit.checkpoint.empty()) return 0;
-  json row{{"failed_runs", unit.failed_runs}};
+  if (unit.last_run == 0) return 0;
+  json row{{"run", unit.last_run}};
+  if (!unit.failed_runs.empty()) row["failed_runs"] = unit.failed_runs;
   if (!unit.checkpoint.empty()) row["checkpoint"] = unit.checkpoint;
+  std::set<std::string> workers = unit.unresolved_workers;
+  for (const unit_member& member : unit.members) {
+    if (member.phase != run_phase::kIdle) workers.insert(member.worker);
+  }
+  if (!workers.empty()) row["workers"] = workers;
   return row;
 }
 
@@ -56,9 +63,10 @@
     if (unit.done) --step.open_units;
     return;
   }
-  unit.failed_runs = row.at("failed_runs").get<std::set<std::int64_t>>();
-  if (!unit.failed_runs.empty()) unit.last_run = *unit.failed_runs.rbegin();
+  unit.last_run = row.at("run");
+  unit.failed_runs = row.value("failed_runs", std::set<std::int64_t>{});
   unit.checkpoint = row.value("checkpoint", "");
+  unit.unresolved_workers = row.value("workers", std::set<std::string>{});
 }
 
 void RestoreOccurrence(const json& steps, occurrence_progress& occurrence) {
--- a/src/coordination/pool/pool_dump.cpp
+++ b/src/coordination/pool/pool_dump.cpp
@@ -52,7 +52,7 @@
   for (const auto& [id, job] : state->jobs()) {
     if (!IsFinal(job.phase) || job.HasActiveUnits()) jobs[id] = DumpJob(job);
   }
-  dump["knows_all_runs"] = state->KnowsAllRuns();
+  dump["unresolved_workers"] = state->UnresolvedWorkers();
   dump["workers"] = std::move(workers);
   dump["jobs"] = std::move(jobs);
   return dump.dump();
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -111,7 +111,6 @@
     if (status.ok()) {
       job.submission = *std::move(submission);
       job.row_version = stored == progress_rows.end() ? row.version : stored->second->version;
-      job.is_unseen_by_predecessors = IsUnseenByPredecessors(row);
       job.accepted_at = now - std::max(milliseconds(0), wall_now - job.submission.accepted_at);
       if (stored != progress_rows.end()) status = RestoreProgress(stored->second->value, job);
     }
@@ -152,14 +151,12 @@
       recorded_workers_.insert(id);
     }
   }
+  // Workers are recorded before their first order, so the row has these already unless it was not readable.
+  for (const std::string& id : state_.UnresolvedWorkers()) state_.AddFormerWorker(id, "", bound);
+  state_.AwaitFirstAnswers();
   co_return true;
 }
 
-// A former owner that may still give orders may have seen any job, however new.
-bool pool_owner::IsUnseenByPredecessors(const stored_row& row) const {
-  return row.version > parts_.owner->epoch_version() && BootNow() >= parts_.owner->predecessor_quiet_at();
-}
-
 void pool_owner::TakeJobRow(const stored_row& row) {
   if (row.removed) return;
   const boot_time now = BootNow();
@@ -176,7 +173,6 @@
   job_entry job;
   job.submission = *std::move(submission);
   job.row_version = row.version;
-  job.is_unseen_by_predecessors = IsUnseenByPredecessors(row);
   const milliseconds age = parts_.wall_clock->At(now) - job.submission.accepted_at;
   job.accepted_at = now - std::clamp(age, milliseconds(0), kFeedWait);
   state_.AddJob(std::move(job), now);
@@ -311,7 +307,8 @@
   for (const std::string& id : state_.ForgetJobs(now - kKeepFinal)) writer_.Remove(id);
   const unix_time wall_now = parts_.wall_clock->At(now);
   state_.MakeDueOccurrences(now, wall_now);
-  if (MayOrder()) {
+  // What cannot be recorded cannot start, so nothing makes room for it either.
+  if (MayOrder() && writer_.is_storing() && state_.HasMetWorkers()) {
     const pool_plan plan = PlanPool(state_, now, wall_now);
     for (const planned_stop& stop : plan.stops) state_.StopUnit(stop.position, stop.reason);
     for (const planned_start& start : plan.starts)
@@ -330,9 +327,15 @@
 }
 
 void pool_owner::DispatchOrders() {
+  std::vector<worker_order> starts;
   for (worker_order& order : state_.TakeOrders()) {
-    Spawn(order.is_start ? SendStart(std::move(order)) : SendStop(std::move(order)));
+    if (order.is_start) {
+      starts.push_back(std::move(order));
+    } else {
+      Spawn(SendStop(std::move(order)));
+    }
   }
+  if (!starts.empty()) Spawn(SendStarts(std::move(starts)));
 }
 
 void pool_owner::LogEvents() {
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -68,9 +68,9 @@
   boost::asio::awaitable<void> PlanLoop();
   boost::asio::awaitable<void> RunSession(std::string worker);
   boost::asio::awaitable<bool> RenewWorker(std::string worker);
+  boost::asio::awaitable<void> SendStarts(std::vector<state::pool::worker_order> orders);
   boost::asio::awaitable<void> SendStart(state::pool::worker_order order);
   boost::asio::awaitable<void> SendStop(state::pool::worker_order order);
-  bool IsUnseenByPredecessors(const stored_row& row) const;
   void TakeJobRow(const stored_row& row);
   void TakeRegistryRow(const stored_row& row);
   void PlanOnce();
--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -77,6 +77,11 @@
     parts_.owner->Lose(absl::StrCat("worker ", id, " has seen a later owner"));
     co_return false;
   }
+  if (reply.outcome == order_outcome::kOtherLife) {
+    state_.TakeOtherLife(id);
+    Wake();
+    co_return false;
+  }
   if (reply.outcome != order_outcome::kDone) {
     state_.TakeSilence(id, BootNow());
     co_return false;
@@ -96,6 +101,14 @@
   co_return true;
 }
 
+// A later owner must know which workers to ask before it starts the same units: their record comes first.
+asio::awaitable<void> pool_owner::SendStarts(std::vector<worker_order> orders) {
+  bool is_recorded = false;
+  while (!stopped_ && !is_recorded) is_recorded = co_await writer_.WaitStored(kStoreWait);
+  if (stopped_) co_return;
+  for (worker_order& order : orders) Spawn(SendStart(std::move(order)));
+}
+
 asio::awaitable<void> pool_owner::SendStart(worker_order order) {
   const boot_time give_up = BootNow() + state_.settings().gang_timeout;
   const worker_entry* worker = state_.FindWorker(order.worker);
@@ -117,6 +130,11 @@
     if (stopped_) co_return;
     TakeReply(order.worker, reply);
     if (stopped_) co_return;
+    if (reply.outcome == order_outcome::kOtherLife) {
+      state_.TakeOtherLife(order.worker);
+      Wake();
+      co_return;
+    }
     is_doubtful = is_doubtful || reply.outcome == order_outcome::kNoAnswer;
     const bool is_open =
         reply.outcome == order_outcome::kNoAnswer || reply.outcome == order_outcome::kNotSent;
--- a/src/coordination/pool/progress_writer.h
+++ b/src/coordination/pool/progress_writer.h
@@ -29,6 +29,8 @@
   void Notify() { wake_.Notify(); }
   /// Waits until all changes made before the call are stored, at most `timeout`. True when they are.
   boost::asio::awaitable<bool> WaitStored(std::chrono::milliseconds timeout);
+  /// False while the store does not confirm writes.
+  bool is_storing() const { return failures_ == 0; }
   /// Adds the row of a forgotten job to the next transaction.
   void Remove(const std::string& job) { removals_.insert(job); }
 
--- a/src/state/pool/job_entry.h
+++ b/src/state/pool/job_entry.h
@@ -68,6 +68,9 @@
   std::set<std::int64_t> failed_runs;
   /// Number of the latest start.
   std::int64_t last_run = 0;
+  /// Workers that the stored record names for that start, by an earlier owner, and of which this owner does
+  /// not know yet what they run. The unit starts nowhere before that is known of all of them.
+  std::set<std::string> unresolved_workers;
   /// Latest checkpoint; empty for none.
   std::string checkpoint;
   /// Workers on which it failed.
@@ -139,8 +142,6 @@
   boot_time accepted_at{};
   /// Version of the row that holds the progress.
   std::int64_t row_version = 0;
-  /// True when it was stored after this owner took over, so that no earlier owner can have started it.
-  bool is_unseen_by_predecessors = false;
   /// When it became final.
   std::optional<boot_time> final_at;
   /// True while the job has units that run or may run.
--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -41,11 +41,8 @@
 
   pool_plan Run() {
     StopOnLeavingWorkers();
-    // Until it is known what earlier owners left running, only what they cannot have started may start.
-    const bool knows_all = state_.KnowsAllRuns();
     std::set<unit_position> refused_steps;
     for (const waiting_unit& unit : MakeUnitQueue(state_, now_, wall_now_)) {
-      if (!knows_all && !unit.job->is_unseen_by_predecessors) continue;
       // Units of one step are alike: where one found no place, the others find none.
       unit_position step = unit.position;
       step.unit = 0;
--- a/src/state/pool/pool_state.cpp
+++ b/src/state/pool/pool_state.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-// Starts of one task under one owner stay below this number, so that a later owner's numbers are higher
-// without a write a start. The first owner begins at 1.
-constexpr std::int64_t kRunsPerEpoch = 1'000'000;
-
 // What decides a job's placement, for its first log record.
 std::string Describe(const job_entry& job) {
   std::string text = "phase=" + std::string(JobPhaseName(job.phase)) +
@@ -90,11 +86,6 @@
   return rules == nullptr ? job.submission.max_attempts : rules->max_attempts;
 }
 
-bool pool_state::KnowsAllRuns() const {
-  return std::none_of(workers_.begin(), workers_.end(),
-                      [](const auto& worker) { return worker.second.may_run_unknown; });
-}
-
 void pool_state::AddJob(job_entry job, boot_time now) {
   const std::string id = job.submission.id;
   const auto [found, is_new] = jobs_.emplace(id, std::move(job));
@@ -102,6 +93,14 @@
   job_entry& entry = found->second;
   for (auto& [number, occurrence] : entry.occurrences) {
     ReadySteps(entry.submission.request, occurrence, now);
+    for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+      const auto& units = occurrence.steps[step].units;
+      for (std::size_t unit = 0; unit < units.size(); ++unit) {
+        for (const std::string& worker : units[unit].unresolved_workers) {
+          unresolved_units_[worker].push_back({id, number, static_cast<int>(step), static_cast<int>(unit)});
+        }
+      }
+    }
   }
   if (IsFinal(entry.phase) && !entry.final_at) entry.final_at = now;
   AddEvent(pool_event_kind::kJobAdded, id, "", 0, "", Describe(entry));
@@ -216,15 +215,18 @@
   worker->used -= place.step->need;
   worker->tasks.erase(TaskName(place.position.job, place.position.occurrence, place.position.step, index));
   *place.member = unit_member{};
+  // A record that still names the worker would make a later owner wait for it.
+  MarkChanged(*place.job, false);
 }
 
 void pool_state::StartUnit(const unit_position& position, const std::vector<std::string>& workers,
                            boot_time now, bool is_far) {
   work_unit* unit = FindUnit(position);
   assert(unit != nullptr && unit->IsIdle() && !unit->done && workers.size() == unit->members.size());
+  assert(unit->unresolved_workers.empty());
   job_entry& job = jobs_.at(position.job);
   const step_request& step = job.submission.request.steps[position.step];
-  unit->last_run = std::max(unit->last_run + 1, (epoch_ - 1) * kRunsPerEpoch + 1);
+  ++unit->last_run;
   unit->started_at = now;
   unit->checkpoint_at = now;
   unit->shows_run_time = unit->checkpoint.empty() && !is_far;
@@ -244,10 +246,9 @@
              "wait_ms=" + std::to_string((now - unit->ready_at).count()));
     orders_.push_back(std::move(order));
   }
-  if (job.phase == job_phase::kQueued) {
-    job.phase = job_phase::kRunning;
-    MarkChanged(job, false);
-  }
+  if (job.phase == job_phase::kQueued) job.phase = job_phase::kRunning;
+  // The orders wait until the start is recorded.
+  MarkChanged(job, true);
 }
 
 void pool_state::StopUnit(const unit_position& position, const std::string& reason) {
@@ -283,6 +284,15 @@
   }
 }
 
+void pool_state::BeginRunning(const task_place& place, boot_time now) {
+  place.member->phase = run_phase::kRunning;
+  place.member->confirmed = true;
+  place.member->answered_order = NextOrder();
+  // The order may have waited for its record.
+  place.member->progress_at = now;
+  place.unit->started_at = now;
+}
+
 void pool_state::TakeStartAnswer(const std::string& task, std::int64_t run, start_answer answer,
                                  boot_time now) {
   const std::optional<task_place> place = FindTask(task);
@@ -290,9 +300,7 @@
   const std::string worker_id = place->member->worker;
   if (answer == start_answer::kAccepted) {
     place->member->confirmed = true;
-    if (place->member->phase != run_phase::kOrdered) return;
-    place->member->phase = run_phase::kRunning;
-    place->member->answered_order = NextOrder();
+    if (place->member->phase == run_phase::kOrdered) BeginRunning(*place, now);
     return;
   }
   AddEvent(pool_event_kind::kStartRefused, place->position.job, task, run, worker_id,
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -67,6 +67,15 @@
   void RemoveRegistration(const std::string& id);
   /// Adds a worker that an earlier owner may have used and that is not registered.
   void AddFormerWorker(const std::string& id, const std::string& address, boot_time lease_bound);
+  /// Takes in that another life answers at the address of `worker`: this one has ended with all that it ran.
+  void TakeOtherLife(const std::string& worker);
+  /// Waits for the first answer, or the first silence, of each worker known now.
+  void AwaitFirstAnswers();
+  /// False while a worker that was known at the start has neither answered nor kept silent. Work would be
+  /// crowded onto those that answered first, and other work stopped for it.
+  bool HasMetWorkers() const { return unmet_workers_.empty(); }
+  /// Workers that stored records name and of which it is not known what they run.
+  std::set<std::string> UnresolvedWorkers() const;
   /// Records that the worker's id is stored.
   void MarkRecorded(const std::string& id);
 
@@ -106,9 +115,6 @@
   /// True while a start or stop for that run is still due.
   bool IsOrderDue(const worker_order& order) const;
 
-  /// True once it is known of every worker what earlier owners left running there.
-  bool KnowsAllRuns() const;
-
   /// Rules of the job's queue in force: the newest of its name, else those at its submission.
   int MaxAttempts(const job_entry& job) const;
 
@@ -153,8 +159,12 @@
   // Releases the runs on `worker` that the lists prove to be gone.
   void ReleaseAbsent(worker_entry& worker, const std::set<std::string>& present, std::int64_t order);
   void TakeForeignRun(worker_entry& worker, const listed_run& run);
+  // Takes in that the member's run is there.
+  void BeginRunning(const task_place& place, boot_time now);
   // Releases all runs on `worker`; nothing of them runs any more.
   void LoseRuns(worker_entry& worker, const std::string& reason);
+  // Takes in that all runs on `worker` are known. Units that were recorded there may start again.
+  void ResolveWorker(worker_entry& worker);
   void FinishJob(job_entry& job, job_phase phase, boot_time now);
   void StopJob(job_entry& job);
   // Marks the steps whose predecessors are done as ready.
@@ -166,6 +176,10 @@
   std::shared_ptr<const pool_config> config_;
   std::map<std::string, job_entry> jobs_;
   std::map<std::string, worker_entry> workers_;
+  // Units by worker that they are unresolved on.
+  std::map<std::string, std::vector<unit_position>> unresolved_units_;
+  // Workers known at the start whose first answer is awaited.
+  std::set<std::string> unmet_workers_;
   run_time_model run_times_;
   std::int64_t order_ = 0;
   std::vector<worker_order> orders_;
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -24,7 +24,7 @@
     LoseRuns(worker, "worker restarted");
     AddEvent(pool_event_kind::kWorkerReborn, "", "", 0, registration.id, "");
     worker.synced = false;
-    worker.may_run_unknown = false;
+    ResolveWorker(worker);
     worker.acknowledged_end = 0;
     worker.clock_read_at = {};
   }
@@ -86,7 +86,9 @@
 
 void pool_state::TakeSilence(const std::string& id, boot_time now) {
   worker_entry* worker = FindWorker(id);
-  if (worker == nullptr || !worker->reachable) return;
+  if (worker == nullptr) return;
+  unmet_workers_.erase(id);
+  if (!worker->reachable) return;
   worker->reachable = false;
   AddEvent(pool_event_kind::kWorkerUnreachable, "", "", 0, id,
            "lease_left_ms=" + std::to_string((worker->lease_bound - now).count()));
@@ -99,14 +101,48 @@
     if (over) {
       LoseRuns(entry, "lease over, worker silent");
       entry.unaccounted.clear();
-      entry.may_run_unknown = false;
+      ResolveWorker(entry);
     }
+    if (!entry.listed && !entry.may_run_unknown) unmet_workers_.erase(worker->first);
     const bool forget = !entry.listed && !entry.may_run_unknown && entry.tasks.empty() &&
                         entry.unaccounted.empty() && now >= entry.lease_bound;
     worker = forget ? workers_.erase(worker) : std::next(worker);
   }
 }
 
+void pool_state::TakeOtherLife(const std::string& id) {
+  worker_entry* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  LoseRuns(*worker, "another life answers at its address");
+  worker->unaccounted.clear();
+  unmet_workers_.erase(id);
+  worker->listed = false;
+  worker->synced = true;
+  worker->lease_bound = {};
+  ResolveWorker(*worker);
+}
+
+void pool_state::AwaitFirstAnswers() {
+  for (const auto& [id, worker] : workers_) unmet_workers_.insert(id);
+}
+
+std::set<std::string> pool_state::UnresolvedWorkers() const {
+  std::set<std::string> workers;
+  for (const auto& [worker, units] : unresolved_units_) workers.insert(worker);
+  return workers;
+}
+
+void pool_state::ResolveWorker(worker_entry& worker) {
+  worker.may_run_unknown = false;
+  const auto found = unresolved_units_.find(worker.registration.id);
+  if (found == unresolved_units_.end()) return;
+  for (const unit_position& position : found->second) {
+    work_unit* unit = FindUnit(position);
+    if (unit != nullptr) unit->unresolved_workers.erase(worker.registration.id);
+  }
+  unresolved_units_.erase(found);
+}
+
 void pool_state::LoseRuns(worker_entry& worker, const std::string& reason) {
   const std::set<std::string> tasks = worker.tasks;
   for (const std::string& task : tasks) {
@@ -130,9 +166,11 @@
     AddEvent(pool_event_kind::kWorkerReborn, "", "", 0, id, "");
   }
   if (lists.born != 0) worker->registration.born = lists.born;
-  worker->synced = true;
-  worker->may_run_unknown = false;
+  // Runs of the ends that did not fit into the answer would look as if they had never been.
+  const bool is_whole = lists.finished.size() < kEndsPerAnswer;
+  worker->synced = worker->synced || is_whole;
   worker->reachable = true;
+  unmet_workers_.erase(id);
   TakeClock(id, lists.clock, now);
   std::int64_t highest = worker->acknowledged_end;
   std::set<std::string> present;
@@ -147,7 +185,10 @@
   }
   std::erase_if(worker->unaccounted,
                 [&present](const auto& entry) { return !present.contains(entry.first); });
-  if (lists.finished.size() < kEndsPerAnswer) ReleaseAbsent(*worker, present, order);
+  if (is_whole) {
+    ReleaseAbsent(*worker, present, order);
+    ResolveWorker(*worker);
+  }
   return highest;
 }
 
@@ -173,11 +214,7 @@
     }
   }
   if (member.worker != worker.registration.id || unit.last_run != run.run) return TakeForeignRun(worker, run);
-  if (member.phase == run_phase::kOrdered) {
-    member.phase = run_phase::kRunning;
-    member.confirmed = true;
-    member.answered_order = NextOrder();
-  }
+  if (member.phase == run_phase::kOrdered) BeginRunning(*place, now);
   if (run.percent != member.percent) {
     member.percent = run.percent;
     member.progress_at = now;
--- a/src/state/pool/worker_entry.h
+++ b/src/state/pool/worker_entry.h
@@ -103,8 +103,8 @@
   bool recorded = false;
   /// True once its lists were read under this ownership.
   bool synced = false;
-  /// True while an earlier owner's runs may be on it that nobody has listed to this owner. No task may start
-  /// anywhere before that is known.
+  /// True while an earlier owner's runs may be on it that nobody has listed to this owner. What is recorded
+  /// as started there may start nowhere before that is known.
   bool may_run_unknown = false;
   /// True while its last call was answered.
   bool reachable = true;
--- a/tests/coordination/pool/memory_store.cpp
+++ b/tests/coordination/pool/memory_store.cpp
@@ -48,6 +48,12 @@
   co_await transport::Sleep(milliseconds(1));
   transaction_result unknown;
   if (is_down) co_return unknown;
+  for (const row_change& change : transaction.changes) {
+    if (change.table != refused_table) continue;
+    transaction_result refused;
+    refused.outcome = transaction_outcome::kNotDone;
+    co_return refused;
+  }
   if (late_writes > 0) {
     --late_writes;
     kept.push_back(std::move(transaction));
--- a/tests/coordination/pool/memory_store.h
+++ b/tests/coordination/pool/memory_store.h
@@ -27,6 +27,8 @@
 
   /// True when the store answers nothing; calls then end without effect.
   bool is_down = false;
+  /// Table whose changes are refused; empty for none.
+  std::string refused_table;
   /// Number of next transactions that are applied without an answer.
   int lost_answers = 0;
   /// Number of next transactions that are kept for ApplyLate without an answer.
--- /dev/null
+++ b/tests/coordination/pool/pool_owner_test.cpp
@@ -0,0 +1,233 @@
+// An owner of the pool with stand-ins for the store and the workers: what is recorded before an order is
+// sent, and what a later owner does with it.
+#include "coordination/pool/pool_owner.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "coordination/pool/memory_store.h"
+#include "coordination/pool/pool_codec.h"
+#include "coordination/pool/pool_tables.h"
+#include "coordination/pool/standin_workers.h"
+#include "transport/async_event.h"
+#include "transport/boot_clock.h"
+
+namespace hickorystall::tests {
+
+namespace asio = boost::asio;
+using namespace coordination::pool;  // NOLINT(google-build-using-namespace)
+using namespace state::pool;         // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using transport::BootNow;
+
+namespace {
+
+constexpr char kRegistryTable[] = "registry";
+constexpr char kConfigTable[] = "config";
+constexpr char kFirstJob[] = "00000000000000aa";
+constexpr char kSecondJob[] = "00000000000000bb";
+
+absl::StatusOr<worker_registration> DecodeTestRegistration(const stored_row& row) {
+  worker_registration registration;
+  registration.id = row.key;
+  registration.address = row.value;
+  registration.service = "s";
+  registration.capacity = {8000, 8192, 8};
+  registration.rack = "rack";
+  registration.labels = {"rack"};
+  registration.born = 1;
+  registration.clock = worker_time(BootNow().time_since_epoch());
+  return registration;
+}
+
+absl::StatusOr<pool_config> DecodeTestConfig(std::string_view) {
+  pool_config config;
+  config.version = 1;
+  queue_rules queue;
+  queue.name = "q";
+  queue.service = "s";
+  queue.priority = 1;
+  queue.max_attempts = 4;
+  queue.stretch = 3.0;
+  config.queues.push_back(queue);
+  config.workspaces.push_back({"w", {"key"}, 0});
+  return config;
+}
+
+// One VM that may own the pool.
+class owner_vm {
+ public:
+  owner_vm(const std::string& name, memory_store& store, standin_workers& workers, asio::io_context& loop)
+      : log_(name),
+        config_(store, log_, {kConfigTable, "config", DecodeTestConfig}),
+        ownership_(store, log_, Settings(name)) {
+    ownership_.SetListener([this, &store, &workers, &loop](bool is_owner) {
+      if (owner_ != nullptr) owner_->Stop();
+      owner_.reset();
+      if (!is_owner) return;
+      pool_owner_parts parts{&store,
+                             &workers,
+                             &ownership_,
+                             &config_,
+                             &log_,
+                             &wall_clock_,
+                             {kRegistryTable, DecodeTestRegistration}};
+      pool_settings settings;
+      settings.headroom = 0;
+      owner_ =
+          std::make_shared<pool_owner>(std::move(parts), settings, ownership_.epoch(), loop.get_executor());
+      owner_->Start();
+    });
+    wall_clock_.Sample(BootNow(), transport::WallNow());
+    asio::co_spawn(loop, config_.Run(), asio::detached);
+    asio::co_spawn(loop, ownership_.Run(), asio::detached);
+  }
+
+  // Ends the VM as a loss of power does: nothing is released.
+  void Kill() {
+    if (owner_ != nullptr) owner_->Stop();
+    owner_.reset();
+    ownership_.SetListener(nullptr);
+    ownership_.Lose("killed");
+    ownership_.Stop();
+    config_.Stop();
+  }
+
+  bool is_owner() const { return owner_ != nullptr; }
+
+ private:
+  static ownership_settings Settings(const std::string& name) {
+    ownership_settings settings;
+    settings.instance = name;
+    settings.address = name + ":1";
+    settings.life = name + "-1";
+    settings.renewal = milliseconds(20);
+    settings.suspicion = milliseconds(80);
+    settings.authority = milliseconds(200);
+    settings.margin = milliseconds(20);
+    return settings;
+  }
+
+  event_log log_;
+  transport::smoothed_wall_clock wall_clock_;
+  config_follower config_;
+  ownership ownership_;
+  std::shared_ptr<pool_owner> owner_;
+};
+
+void Submit(memory_store& store, const std::string& id) {
+  job_entry job;
+  job.submission.id = id;
+  job.submission.workspace = "w";
+  job.submission.queue = "q";
+  job.submission.service = "s";
+  job.submission.priority = 1;
+  job.submission.max_attempts = 4;
+  job.submission.stretch = 3.0;
+  job.submission.accepted_at = transport::WallNow();
+  step_request step;
+  step.task_count = 1;
+  step.need = {1000, 1024, 8};
+  step.estimate = milliseconds(10'000);
+  job.submission.request.steps = {step};
+  store.ApplyNow(
+      {{}, {{kJobsTable, id, EncodeSubmission(job.submission)}, {kProgressTable, id, EncodeProgress(job)}}});
+}
+
+// Waits until `holds`, at most two seconds.
+asio::awaitable<bool> Await(std::function<bool()> holds) {
+  const auto end = BootNow() + std::chrono::seconds(2);
+  while (!holds() && BootNow() < end) co_await transport::Sleep(milliseconds(5));
+  co_return holds();
+}
+
+// A store with configuration and `workers` registered workers, and a loop in which `work` runs.
+struct owner_fixture {
+  explicit owner_fixture(int worker_count) {
+    store.ApplyNow({{}, {{kConfigTable, "config", "{}"}}});
+    for (int i = 0; i < worker_count; ++i) {
+      const std::string id = "worker-" + std::to_string(i);
+      store.ApplyNow({{}, {{kRegistryTable, id, "127.0.0.1:" + std::to_string(i + 1)}}});
+    }
+  }
+
+  void Run(std::function<asio::awaitable<void>()> work) {
+    asio::co_spawn(loop, work, [](const std::exception_ptr& failure) {
+      if (failure) std::rethrow_exception(failure);
+    });
+    loop.run();
+  }
+
+  memory_store store;
+  standin_workers workers;
+  asio::io_context loop;
+};
+
+}  // namespace
+
+// Guards against a start that no record names: a later owner would not know that it must ask that worker.
+TEST_CASE("a start is recorded before it is ordered", "[pool]") {
+  owner_fixture fixture(1);
+  std::string record;
+  fixture.workers.on_start = [&](const std::string&) {
+    record = fixture.store.Value(kProgressTable, kFirstJob);
+  };
+  owner_vm vm("a", fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    Submit(fixture.store, kFirstJob);
+    const bool started = co_await Await([&] { return fixture.workers.starts > 0; });
+    CHECK(started);
+    CHECK(record.find("worker-0") != std::string::npos);
+    vm.Kill();
+  });
+}
+
+// Guards against starts that cannot be recorded, since the store takes no write.
+TEST_CASE("nothing starts while its record is not confirmed", "[pool]") {
+  owner_fixture fixture(1);
+  owner_vm vm("a", fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    const bool owned = co_await Await([&] { return vm.is_owner(); });
+    CHECK(owned);
+    co_await transport::Sleep(milliseconds(50));
+    Submit(fixture.store, kFirstJob);
+    fixture.store.refused_table = kProgressTable;
+    co_await transport::Sleep(milliseconds(400));
+    CHECK(fixture.workers.starts == 0);
+    fixture.store.refused_table.clear();
+    const bool started = co_await Await([&] { return fixture.workers.starts > 0; });
+    CHECK(started);
+    vm.Kill();
+  });
+}
+
+// Guards against two runs of one task and against a pool that stands still: after a change of owner one
+// worker is silent and runs on.
+TEST_CASE("a new owner starts all but what a silent worker may run", "[pool]") {
+  owner_fixture fixture(2);
+  const std::string first = TaskName(kFirstJob, 0, 0, 0);
+  const std::string second = TaskName(kSecondJob, 0, 0, 0);
+  auto former = std::make_unique<owner_vm>("a", fixture.store, fixture.workers, fixture.loop);
+  std::unique_ptr<owner_vm> next;
+  fixture.Run([&]() -> asio::awaitable<void> {
+    Submit(fixture.store, kFirstJob);
+    const bool started = co_await Await([&] { return fixture.workers.starts == 1; });
+    CHECK(started);
+    co_await transport::Sleep(milliseconds(50));
+    former->Kill();
+    fixture.workers.silent.insert(fixture.workers.CountRunsOn("worker-0") > 0 ? "worker-0" : "worker-1");
+    next = std::make_unique<owner_vm>("b", fixture.store, fixture.workers, fixture.loop);
+    const bool owned = co_await Await([&] { return next->is_owner(); });
+    CHECK(owned);
+    Submit(fixture.store, kSecondJob);
+    const bool second_started = co_await Await([&] { return fixture.workers.CountRuns(second) == 1; });
+    CHECK(second_started);
+    co_await transport::Sleep(milliseconds(300));
+    CHECK(fixture.workers.CountRuns(first) == 1);
+    next->Kill();
+  });
+}
+
+}  // namespace hickorystall::tests
--- /dev/null
+++ b/tests/coordination/pool/standin_workers.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "coordination/pool/worker_orders.h"
+
+namespace hickorystall::tests {
+
+/// Workers in memory for one loop. Runs go on until they are stopped or a test ends them.
+class standin_workers : public coordination::pool::worker_orders {
+ public:
+  boost::asio::awaitable<coordination::pool::order_reply> Start(coordination::pool::order_address address,
+                                                                std::string task, std::int64_t run,
+                                                                std::string payload, std::string checkpoint,
+                                                                state::pool::worker_time deadline,
+                                                                std::chrono::milliseconds timeout) override;
+  boost::asio::awaitable<coordination::pool::order_reply> Stop(coordination::pool::order_address address,
+                                                               std::string task, std::int64_t run,
+                                                               std::chrono::milliseconds timeout) override;
+  boost::asio::awaitable<coordination::pool::lists_reply> Renew(
+      coordination::pool::order_address address, std::int64_t acknowledged_end,
+      std::optional<state::pool::worker_time> deadline, std::chrono::milliseconds wait,
+      std::chrono::milliseconds timeout) override;
+
+  /// Ends the run of `task` as `kind`.
+  void End(const std::string& worker, const std::string& task, state::pool::end_kind kind);
+  /// Number of runs of `task` that are there.
+  int CountRuns(const std::string& task) const;
+  /// Number of runs on `worker`.
+  int CountRunsOn(const std::string& worker) const;
+
+  /// Called with the task of each start before it is carried out.
+  std::function<void(const std::string&)> on_start;
+  /// Workers that answer nothing. What they run goes on.
+  std::set<std::string> silent;
+  /// Starts carried out.
+  int starts = 0;
+
+ private:
+  struct worker_model {
+    std::int64_t fencing_token = 0;
+    std::map<std::string, std::int64_t> running;
+    std::vector<state::pool::listed_end> finished;
+    std::int64_t last_end = 0;
+  };
+
+  // Raises the token that the worker has seen; false for an older one.
+  bool Admit(const coordination::pool::order_address& address);
+  std::map<std::string, worker_model> workers_;
+};
+
+}  // namespace hickorystall::tests
--- a/tests/state/pool/pool_fixture.cpp
+++ b/tests/state/pool/pool_fixture.cpp
@@ -46,8 +46,10 @@
   state.TakeEvents();
 }
 
-void pool_fixture::Submit(const std::string& id, const step_request& step, int priority,
-                          const std::string& workspace) {
+namespace {
+
+job_entry MakeJob(const std::string& id, const step_request& step, int priority, const std::string& workspace,
+                  boot_time now) {
   job_entry job;
   job.submission.id = id;
   job.submission.workspace = workspace;
@@ -58,6 +60,25 @@
   job.submission.stretch = priority == 0 ? 1.5 : 3.0;
   job.submission.request.steps = {step};
   job.accepted_at = now;
+  return job;
+}
+
+}  // namespace
+
+void pool_fixture::Submit(const std::string& id, const step_request& step, int priority,
+                          const std::string& workspace) {
+  state.AddJob(MakeJob(id, step, priority, workspace, now), now);
+}
+
+void pool_fixture::SubmitRecorded(const std::string& id, const step_request& step, std::int64_t run,
+                                  const std::set<std::string>& workers) {
+  job_entry job = MakeJob(id, step, 1, "w", now);
+  occurrence_progress occurrence = MakeOccurrence(job.submission.request);
+  work_unit& unit = occurrence.steps[0].units[0];
+  unit.last_run = run;
+  unit.unresolved_workers = workers;
+  job.occurrences[0] = std::move(occurrence);
+  job.phase = job_phase::kRunning;
   state.AddJob(std::move(job), now);
 }
 
--- a/tests/state/pool/pool_fixture.h
+++ b/tests/state/pool/pool_fixture.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,9 @@
   /// Submits a job of one step.
   void Submit(const std::string& id, const state::pool::step_request& step, int priority = 1,
               const std::string& workspace = "w");
+  /// Loads a job of one step whose unit is recorded as started as `run` on `workers` by an earlier owner.
+  void SubmitRecorded(const std::string& id, const state::pool::step_request& step, std::int64_t run,
+                      const std::set<std::string>& workers);
   /// Plans once and applies the plan. Returns the orders that follow.
   std::vector<state::pool::worker_order> Plan();
   /// Confirms the starts of `orders`.
