--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -25,6 +25,9 @@
 constexpr milliseconds kRetryPause{200};
 // Longest time between two passes: due times, leases and stuck tasks are looked at that often.
 constexpr milliseconds kTick{200};
+// Changes of registrations are collected for this long: hundreds of workers come one by one, and none of what
+// they say is due sooner.
+constexpr milliseconds kRegistryPause{100};
 // How often the list of workers is compared with what is stored, besides at each change of the registry.
 constexpr milliseconds kRecordLook{1000};
 // Final jobs are kept for the users' 120 s and as long again as a client may take to ask.
@@ -250,6 +253,7 @@
       if (result.rows.empty()) continue;
       registry_changed_.Notify();
       Wake();
+      co_await transport::Sleep(kRegistryPause);
       continue;
     }
     if (absl::IsOutOfRange(result.status)) {
