Give each event log its own writer, and bound and escape the values of fields

And bodies of clients went into records whole, with their line breaks. Change: the writer thread belongs to the log; values are cut at 400 bytes, quotes and control characters are escaped.

--- a/src/coordination/pool/event_log.cpp
+++ b/src/coordination/pool/event_log.cpp
@@ -1,9 +1,13 @@
 #include "coordination/pool/event_log.h"
 
 #include <spdlog/async.h>
+#include <spdlog/async_logger.h>
+#include <spdlog/details/thread_pool.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "state/metrics/request_metrics.h"
 
 namespace hickorystall::coordination::pool {
@@ -12,16 +16,42 @@
 // Records that wait for the writer. At 200 bytes each they take under half a megabyte.
 constexpr std::size_t kQueueLength = 2048;
 
+// Longest value of a field. What clients send may be long, and a record must not crowd out others.
+constexpr std::size_t kLongestValue = 400;
+
+// Appends `value`; in quotes, with quotes, backslashes and control characters escaped, unless it is one word.
+void AppendValue(std::string& line, std::string_view value) {
+  const bool is_cut = value.size() > kLongestValue;
+  value = value.substr(0, kLongestValue);
+  const bool is_word = !value.empty() && std::all_of(value.begin(), value.end(), [](unsigned char c) {
+    return c > ' ' && c != '"' && c != '\\' && c != 0x7f;
+  });
+  if (!is_word) line += '"';
+  for (const char c : value) {
+    if (static_cast<unsigned char>(c) < ' ') {
+      line += c == '\n' ? "\\n" : "?";
+      continue;
+    }
+    if (c == '"' || c == '\\') line += '\\';
+    line += c;
+  }
+  if (is_cut) line += "...";
+  if (!is_word) line += '"';
+}
+
 }  // namespace
 
-event_log::event_log(std::string instance) : instance_(std::move(instance)) {
-  spdlog::init_thread_pool(kQueueLength, 1);
-  logger_ = spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("events-" + instance_);
+event_log::event_log(std::string instance)
+    : instance_(std::move(instance)),
+      writer_(std::make_shared<spdlog::details::thread_pool>(kQueueLength, 1)),
+      logger_(std::make_shared<spdlog::async_logger>(
+          "events-" + instance_, std::make_shared<spdlog::sinks::stdout_sink_mt>(), writer_,
+          spdlog::async_overflow_policy::overrun_oldest)) {
   logger_->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %v", spdlog::pattern_time_type::utc);
   logger_->flush_on(spdlog::level::info);
 }
 
-event_log::~event_log() { spdlog::shutdown(); }
+event_log::~event_log() = default;
 
 void event_log::Write(std::string_view part, std::string_view event, const log_fields& fields) {
   ++counters_[{std::string(part), std::string(event)}];
@@ -32,10 +62,7 @@
     line += ' ';
     line += name;
     line += '=';
-    const bool quoted = value.find(' ') != std::string::npos;
-    if (quoted) line += '"';
-    line += value;
-    if (quoted) line += '"';
+    AppendValue(line, value);
   }
   line += " vm=";
   line += instance_;
@@ -52,6 +79,6 @@
   return text + "hickorystall_log_records_dropped_total " + std::to_string(dropped()) + "\n";
 }
 
-std::uint64_t event_log::dropped() const { return spdlog::thread_pool()->overrun_counter(); }
+std::uint64_t event_log::dropped() const { return writer_->overrun_counter(); }
 
 }  // namespace hickorystall::coordination::pool
--- a/src/coordination/pool/event_log.h
+++ b/src/coordination/pool/event_log.h
@@ -10,7 +10,10 @@
 
 namespace spdlog {
 class logger;
+namespace details {
+class thread_pool;
 }
+}  // namespace spdlog
 
 namespace hickorystall::coordination::pool {
 
@@ -37,6 +40,8 @@
 
  private:
   const std::string instance_;
+  // Queue and thread that write records; ends when the logger has gone and all records are written.
+  std::shared_ptr<spdlog::details::thread_pool> writer_;
   std::shared_ptr<spdlog::logger> logger_;
   // Used by the thread that writes records.
   std::map<std::pair<std::string, std::string>, std::uint64_t> counters_;
