--- a/src/coordination/pool/partition_writer.cpp
+++ b/src/coordination/pool/partition_writer.cpp
@@ -17,9 +17,10 @@
 // turns away does not press it.
 constexpr milliseconds kRetryPause{100};
 constexpr milliseconds kLongestRetryPause{800};
-// Changes that nobody waits for, such as the first start of a job, are collected for this long.
+// Changes that nobody waits for, such as that a run is gone, are collected for this long.
 constexpr milliseconds kCollectTime{500};
-// A transaction holds 100 entries: a condition and a write a job, two conditions of the owner, and removals.
+// A transaction holds 100 entries: a condition and a write a job, the owner's condition, and four rows a
+// removal.
 constexpr std::size_t kJobsPerWrite = 30;
 constexpr std::size_t kRemovalsPerWrite = 8;
 
--- /dev/null
+++ b/tests/platform/table_store_test.cpp
@@ -0,0 +1,81 @@
+// What the adapter sends to the platform's store, against a server that keeps the last request.
+#include "table_store.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <nlohmann/json.hpp>
+
+#include "protocol/error_response.h"
+#include "transport/http_server.h"
+
+namespace hickorystall::tests {
+
+namespace asio = boost::asio;
+using namespace coordination::pool;  // NOLINT(google-build-using-namespace)
+using nlohmann::json;
+
+namespace {
+
+// Body of the call that `transaction` becomes.
+json Send(store_transaction transaction, bool joins_parts) {
+  transport::worker_pool pool(1);
+  std::string body;
+  transport::http_server server(
+      pool, transport::http_server_settings{},
+      [&body](transport::http_request request) -> asio::awaitable<transport::http_response> {
+        body = request.body;
+        co_return transport::JsonResponse(200, R"({"rowVersion":7})");
+      },
+      protocol::MakeReadFailureResponse);
+  REQUIRE(server.Start().ok());
+  transport::http_client client(pool, {});
+  platform::table_store store(client, "127.0.0.1:" + std::to_string(server.port()), joins_parts);
+  std::promise<transaction_result> done;
+  asio::co_spawn(
+      pool.context(0),
+      [&]() -> asio::awaitable<void> {
+        transaction_result result = co_await store.Apply(transaction, std::chrono::seconds(2));
+        done.set_value(std::move(result));
+      },
+      [](const std::exception_ptr&) {});
+  pool.Start();
+  const transaction_result result = done.get_future().get();
+  CHECK(result.outcome == transaction_outcome::kDone);
+  CHECK(result.version == 7);
+  pool.Stop();
+  return json::parse(body);
+}
+
+store_transaction TwoPartitions() {
+  return {{{"t", "k", 3, "p"}},
+          {{"t", "k", "value", "p"}, {"t", "k", "value", "q"}, {"t", "gone", std::nullopt, "p"}}};
+}
+
+}  // namespace
+
+// Guards against a transaction that the store refuses, since its entries lie in several parts and it does not
+// say so.
+TEST_CASE("a transaction over several parts says so", "[pool]") {
+  const json body = Send(TwoPartitions(), true);
+  CHECK(body.at("across") == true);
+  CHECK(body.at("precondition")[0] == json{{"table", "t"}, {"part", "p"}, {"key", "k"}, {"rowVersion", 3}});
+  CHECK(body.at("write").size() == 2);
+  CHECK(body.at("write")[0].at("value") == "dmFsdWU=");
+  CHECK(body.at("remove")[0].at("key") == "gone");
+  store_transaction one = TwoPartitions();
+  one.changes.erase(one.changes.begin() + 1);
+  CHECK_FALSE(Send(one, true).contains("across"));
+}
+
+// Guards against a platform on which no VM could ever become the owner, since its transactions cover one part
+// only.
+TEST_CASE("rows lie in one part where transactions cannot cover several", "[pool]") {
+  const json body = Send(TwoPartitions(), false);
+  CHECK_FALSE(body.contains("across"));
+  REQUIRE(body.at("write").size() == 1);
+  CHECK(body.at("write")[0].at("part") == "");
+  CHECK(body.at("precondition")[0].at("part") == "");
+}
+
+}  // namespace hickorystall::tests
