Follow the linter in the tests of the soak and the adapter

Cause: the first lint run of these files; three findings. Change: tests only. Measured: lint of the changed files clean, unit tests [pool] green.

--- a/tests/platform/table_store_test.cpp
+++ b/tests/platform/table_store_test.cpp
@@ -74,8 +74,8 @@
   const json body = Send(TwoPartitions(), false);
   CHECK_FALSE(body.contains("across"));
   REQUIRE(body.at("write").size() == 1);
-  CHECK(body.at("write")[0].at("part") == "");
-  CHECK(body.at("precondition")[0].at("part") == "");
+  CHECK(body.at("write")[0].at("part").get<std::string>().empty());
+  CHECK(body.at("precondition")[0].at("part").get<std::string>().empty());
 }
 
 }  // namespace hickorystall::tests
--- a/tests/soak/faulty_workers.cpp
+++ b/tests/soak/faulty_workers.cpp
@@ -1,5 +1,7 @@
 #include "soak/faulty_workers.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 #include "coordination/pool/owner_vm.h"
@@ -69,13 +71,13 @@
   worker = {};
   worker.born = born;
   store_.ApplyNow(
-      {{}, {{kRegistryTable, id, R"({"address":"127.0.0.1:1","born":)" + std::to_string(born) + "}"}}});
+      {{}, {{kRegistryTable, id, absl::StrCat(R"({"address":"127.0.0.1:1","born":)", born, "}")}}});
 }
 
 void faulty_workers::Begin(const std::string& worker_id, worker_model& worker, const late_start& order) {
   for (const auto& [id, other] : workers_) {
     if (other.running.contains(order.task)) {
-      Break("TWICE " + order.task + " starts on " + worker_id + " while it runs on " + id);
+      Break(absl::StrCat("TWICE ", order.task, " starts on ", worker_id, " while it runs on ", id));
     }
   }
   if (worker.running.size() >= kTasksPerWorker) Break("LIMIT " + worker_id);
