--- a/src/coordination/pool/event_log.cpp
+++ b/src/coordination/pool/event_log.cpp
@@ -16,6 +16,10 @@
 // Capacity of the queue to the writer thread. At 200 bytes each, the records take under half a megabyte.
 constexpr std::size_t kQueueLength = 2048;
 
+// Minimum time between two flushes by Write. A flush takes a system call, and a busy owner writes several
+// hundred records a second.
+constexpr std::chrono::milliseconds kFlushInterval{100};
+
 // Maximum length of a field's value. Clients may send long texts, and one record must not displace others.
 constexpr std::size_t kMaxValueLength = 400;
 
@@ -49,7 +53,6 @@
           "events-" + instance_, std::make_shared<spdlog::sinks::stdout_sink_mt>(), writer_,
           spdlog::async_overflow_policy::overrun_oldest)) {
   logger_->set_pattern("%Y-%m-%dT%H:%M:%S.%eZ %v", spdlog::pattern_time_type::utc);
-  logger_->flush_on(spdlog::level::info);
 }
 
 event_log::~event_log() = default;
@@ -68,6 +71,17 @@
   line += " vm=";
   line += instance_;
   logger_->info(line);
+  has_unflushed_ = true;
+  const auto now = std::chrono::steady_clock::now();
+  if (now - flushed_at_ < kFlushInterval) return;
+  flushed_at_ = now;
+  Flush();
+}
+
+void event_log::Flush() {
+  if (!has_unflushed_) return;
+  has_unflushed_ = false;
+  logger_->flush();
 }
 
 std::string event_log::CountersToText() const {
--- a/src/coordination/pool/event_log.h
+++ b/src/coordination/pool/event_log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -31,8 +32,12 @@
   event_log(const event_log&) = delete;
   event_log& operator=(const event_log&) = delete;
 
-  /// Writes one record and counts it by `part` and `event`.
+  /// Writes one record and counts it by `part` and `event`. The output is flushed at most every 100 ms, so a
+  /// killed process loses the records of that time.
   void Write(std::string_view part, std::string_view event, const log_fields& fields);
+  /// Flushes the records written so far. Must be called from time to time, since Write leaves the last
+  /// records of a burst unflushed.
+  void Flush();
   /// Number of records dropped since the start.
   std::uint64_t dropped() const;
   /// Returns the number of records by part and event in the Prometheus text format (version 0.0.4).
@@ -44,7 +49,9 @@
   // written.
   std::shared_ptr<spdlog::details::thread_pool> writer_;
   std::shared_ptr<spdlog::logger> logger_;
-  // Accessed only by the thread that calls Write.
+  // The members below are accessed only by the thread that calls Write.
+  bool has_unflushed_ = false;
+  std::chrono::steady_clock::time_point flushed_at_{};
   std::map<std::pair<std::string, std::string>, std::uint64_t> counters_;
 };
 
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -19,14 +19,21 @@
 namespace {
 
 constexpr milliseconds kReplyTimeout{1000};
-// Maximum wait of a feed call for jobs or workers, which change only with events.
-constexpr milliseconds kFeedWait{5000};
+// Maximum age that is assumed for a job that arrives through the change feed: a larger difference between its
+// time of submission and this VM's clock is an error of the clocks.
+constexpr milliseconds kMaxSubmissionAge{5000};
 constexpr milliseconds kRetryPause{200};
 // Maximum time between two planning passes, which check due times, leases and stalled tasks.
 constexpr milliseconds kTick{200};
 // Time for which changes of registrations are batched: hundreds of workers register one by one, and no change
 // is needed sooner.
 constexpr milliseconds kRegistryPause{100};
+// Pause after a planning pass as a multiple of its duration, which keeps planning below a fifth of the
+// owner's processor time, and its minimum. The latency objective of urgent work is 250 ms.
+constexpr int kPlanPauseFactor = 4;
+constexpr milliseconds kMinPlanPause{10};
+// Number of rows in one reply from which on the feed counts as behind: half of the store's limit of 500.
+constexpr std::size_t kBehindRows = 250;
 // Interval at which the list of workers is compared with the stored one, in addition to each change of the
 // registry.
 constexpr milliseconds kRecordInterval{1000};
@@ -42,7 +49,9 @@
       state_(settings, epoch),
       writer_(*parts_.store, *parts_.log, *parts_.owner, state_, executor),
       wake_(executor),
-      registry_changed_(executor) {}
+      registry_changed_(executor),
+      jobs_feed_(*parts_.store, *parts_.log, {kJobsTable, {kJobPartitions.begin(), kJobPartitions.end()}}),
+      registry_feed_(*parts_.store, *parts_.log, {parts_.registry.table, {kPoolPartition}}) {}
 
 void pool_owner::Spawn(asio::awaitable<void> work) {
   asio::co_spawn(
@@ -109,6 +118,7 @@
 }
 
 asio::awaitable<bool> pool_owner::LoadJobs() {
+  const boot_time read_at = BootNow();
   std::optional<std::int64_t> position;
   for (const std::string_view partition : kJobPartitions) {
     // Progress is read first: a job that is submitted in between is then found in the jobs table, without
@@ -123,7 +133,7 @@
     // The feed continues from the first read, so that it returns every change made after any of the reads.
     if (!position) position = jobs.version;
   }
-  jobs_position_ = *position;
+  jobs_feed_.Begin(*position, read_at);
   co_return true;
 }
 
@@ -163,11 +173,12 @@
   const rows_result recorded =
       co_await parts_.store->ReadRange(kWorkersTable, kPoolPartition, "", "", kReplyTimeout);
   if (!recorded.status.ok()) co_return false;
+  const boot_time read_at = BootNow();
   const rows_result listed =
       co_await parts_.store->ReadRange(parts_.registry.table, kPoolPartition, "", "", kReplyTimeout);
   if (!listed.status.ok()) co_return false;
   for (const stored_row& row : listed.rows) ApplyRegistryRow(row);
-  registry_position_ = listed.version;
+  registry_feed_.Begin(listed.version, read_at);
   const milliseconds lease = state_.settings().worker_lease;
   const auto tolerance = milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) *
                                                                 state_.settings().worker_clock_tolerance));
@@ -208,7 +219,7 @@
   job.submission = *std::move(submission);
   job.row_version = row.version;
   const milliseconds age = parts_.wall_clock->At(now) - job.submission.accepted_at;
-  job.accepted_at = now - std::clamp(age, milliseconds(0), kFeedWait);
+  job.accepted_at = now - std::clamp(age, milliseconds(0), kMaxSubmissionAge);
   state_.AddJob(std::move(job), now);
 }
 
@@ -228,78 +239,43 @@
 
 asio::awaitable<void> pool_owner::FollowJobs() {
   while (!stopped_) {
-    const rows_result result =
-        co_await parts_.store->Follow(kJobsTable, jobs_position_, kFeedWait, kReplyTimeout);
+    const feed_update update = co_await jobs_feed_.Next();
     if (stopped_) co_return;
-    if (result.status.ok()) {
-      for (const stored_row& row : result.rows) ApplyJobRow(row);
-      jobs_position_ = result.version;
-      if (!result.rows.empty()) Wake();
-      continue;
-    }
-    if (absl::IsOutOfRange(result.status)) {
-      const bool is_read = co_await ReloadJobs();
-      if (stopped_) co_return;
-      if (is_read) continue;
-    }
-    co_await transport::Sleep(kRetryPause);
-  }
-}
-
-asio::awaitable<bool> pool_owner::ReloadJobs() {
-  std::optional<std::int64_t> position;
-  for (const std::string_view partition : kJobPartitions) {
-    const rows_result all =
-        co_await parts_.store->ReadRange(kJobsTable, std::string(partition), "", "", kReplyTimeout);
-    if (stopped_ || !all.status.ok()) co_return false;
+    if (!update.ok) continue;
     // The key of a cancellation sorts after the key of its job.
-    for (const stored_row& row : all.rows) ApplyJobRow(row);
-    if (!position) position = all.version;
+    for (const stored_row& row : update.rows) ApplyJobRow(row);
+    if (!update.rows.empty() || is_outdated_) Wake();
   }
-  jobs_position_ = *position;
-  Wake();
-  co_return true;
 }
 
 asio::awaitable<void> pool_owner::FollowRegistry() {
   while (!stopped_) {
-    const rows_result result =
-        co_await parts_.store->Follow(parts_.registry.table, registry_position_, kFeedWait, kReplyTimeout);
+    const feed_update update = co_await registry_feed_.Next();
     if (stopped_) co_return;
-    if (result.status.ok()) {
-      for (const stored_row& row : result.rows) ApplyRegistryRow(row);
-      registry_position_ = result.version;
-      if (result.rows.empty()) continue;
-      registry_changed_.Notify();
-      Wake();
-      co_await transport::Sleep(kRegistryPause);
-      continue;
-    }
-    if (absl::IsOutOfRange(result.status)) {
-      const rows_result all =
-          co_await parts_.store->ReadRange(parts_.registry.table, kPoolPartition, "", "", kReplyTimeout);
-      if (stopped_) co_return;
-      if (all.status.ok()) {
-        std::set<std::string> present;
-        for (const stored_row& row : all.rows) {
-          present.insert(row.key);
-          ApplyRegistryRow(row);
-        }
-        std::vector<std::string> gone;
-        for (const auto& [id, worker] : state_.workers()) {
-          if (worker.listed && !present.contains(id)) gone.push_back(id);
-        }
-        for (const std::string& id : gone) state_.RemoveRegistration(id);
-        registry_position_ = all.version;
-        registry_changed_.Notify();
-        Wake();
-        continue;
-      }
+    if (!update.ok) continue;
+    std::set<std::string_view> present;
+    for (const stored_row& row : update.rows) {
+      present.insert(row.key);
+      ApplyRegistryRow(row);
     }
-    co_await transport::Sleep(kRetryPause);
+    if (update.is_snapshot) RemoveUnlisted(present);
+    if (is_outdated_) Wake();
+    if (update.rows.empty()) continue;
+    registry_changed_.Notify();
+    Wake();
+    // Changes are batched, unless the feed is behind: a full reply is followed at once by the next call.
+    if (update.rows.size() < kBehindRows) co_await transport::Sleep(kRegistryPause);
   }
 }
 
+void pool_owner::RemoveUnlisted(const std::set<std::string_view>& present) {
+  std::vector<std::string> gone;
+  for (const auto& [id, worker] : state_.workers()) {
+    if (worker.listed && !present.contains(id)) gone.push_back(id);
+  }
+  for (const std::string& id : gone) state_.RemoveRegistration(id);
+}
+
 // Stores the ids of new workers before they receive orders, so that a later owner asks each of them what it
 // runs.
 asio::awaitable<void> pool_owner::RecordWorkers() {
@@ -339,7 +315,13 @@
 
 asio::awaitable<void> pool_owner::PlanLoop() {
   while (!stopped_) {
+    const boot_time begin = BootNow();
     PlanOnce();
+    // Every reply of a worker wakes the loop. Without the pause a busy pool would be planned anew hundreds of
+    // times a second, at the expense of the calls to the workers.
+    const milliseconds pause = std::clamp((BootNow() - begin) * kPlanPauseFactor, kMinPlanPause, kTick);
+    co_await transport::Sleep(pause);
+    if (stopped_) co_return;
     co_await wake_.Wait(kTick);
   }
 }
@@ -352,7 +334,7 @@
   const unix_time wall_now = parts_.wall_clock->At(now);
   state_.MakeDueOccurrences(now, wall_now);
   // A start that cannot be recorded is not sent, so no task is stopped to make room for it either.
-  if (MayOrder() && writer_.is_storing() && state_.HaveAllWorkersReplied()) {
+  if (MayOrder() && IsKnowledgeFresh(now) && writer_.is_storing() && state_.HaveAllWorkersReplied()) {
     const pool_plan plan = PlanPool(state_, now, wall_now);
     for (const planned_stop& stop : plan.stops) state_.StopUnit(stop.position, stop.reason);
     for (const planned_start& start : plan.starts)
@@ -364,6 +346,20 @@
   writer_.Notify();
 }
 
+bool pool_owner::IsKnowledgeFresh(boot_time now) {
+  const milliseconds jobs_age = now - jobs_feed_.fresh_at();
+  const milliseconds registry_age = now - registry_feed_.fresh_at();
+  const bool is_outdated = std::max(jobs_age, registry_age) > state_.settings().max_feed_age;
+  if (is_outdated != is_outdated_) {
+    is_outdated_ = is_outdated;
+    parts_.log->Write("scheduler", is_outdated ? "starts held back" : "starts resumed",
+                      {{"jobs_age_ms", std::to_string(jobs_age.count())},
+                       {"registry_age_ms", std::to_string(registry_age.count())},
+                       {"limit_ms", std::to_string(state_.settings().max_feed_age.count())}});
+  }
+  return !is_outdated;
+}
+
 void pool_owner::StartSessions() {
   for (const auto& [id, worker] : state_.workers()) {
     if (NeedsSession(worker) && sessions_.insert(id).second) Spawn(RunSession(id));
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -14,6 +14,7 @@
 #include "coordination/pool/ownership.h"
 #include "coordination/pool/pool_store.h"
 #include "coordination/pool/progress_writer.h"
+#include "coordination/pool/table_feed.h"
 #include "coordination/pool/worker_orders.h"
 #include "state/pool/pool_state.h"
 #include "transport/boot_clock.h"
@@ -63,7 +64,6 @@
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<bool> Load();
   boost::asio::awaitable<bool> LoadJobs();
-  boost::asio::awaitable<bool> ReloadJobs();
   void ApplyStoredJobs(const rows_result& progress, const rows_result& jobs);
   boost::asio::awaitable<bool> LoadWorkers();
   boost::asio::awaitable<void> FollowJobs();
@@ -77,7 +77,11 @@
   boost::asio::awaitable<void> SendStop(state::pool::worker_order order);
   void ApplyJobRow(const stored_row& row);
   void ApplyRegistryRow(const stored_row& row);
+  // Marks the listed workers that are not in `present` as gone.
+  void RemoveUnlisted(const std::set<std::string_view>& present);
   void PlanOnce();
+  // Returns whether jobs and registrations are known well enough to start work, and logs each change of that.
+  bool IsKnowledgeFresh(state::pool::boot_time now);
   void StartSessions();
   void DispatchOrders();
   void LogEvents();
@@ -92,8 +96,10 @@
   progress_writer writer_;
   transport::wake_signal wake_;
   transport::wake_signal registry_changed_;
-  std::int64_t jobs_position_ = 0;
-  std::int64_t registry_position_ = 0;
+  table_feed jobs_feed_;
+  table_feed registry_feed_;
+  // True while starts are held back because one of the feeds is outdated.
+  bool is_outdated_ = false;
   // Version of the stored row that lists the workers.
   std::int64_t workers_version_ = 0;
   // Workers that are named in that row.
--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -115,7 +115,8 @@
 asio::awaitable<void> pool_owner::SendStart(worker_order order) {
   const boot_time retry_end = BootNow() + state_.settings().gang_timeout;
   const worker_entry* worker = state_.FindWorker(order.worker);
-  if (worker == nullptr || !MayOrder()) {
+  // The worker may have given notice while the start was being stored.
+  if (worker == nullptr || !MayOrder() || worker->registration.draining) {
     state_.HandleStartReply(order.task, order.run, start_reply::kRefused, BootNow());
     co_return;
   }
--- a/src/state/pool/job_entry.h
+++ b/src/state/pool/job_entry.h
@@ -15,6 +15,8 @@
 
 namespace hickorystall::state::pool {
 
+struct worker_entry;
+
 /// State of a job as clients see it. `kCompleted`, `kFailed` and `kCancelled` are final.
 enum class job_phase { kQueued, kRunning, kCompleted, kFailed, kCancelled };
 
@@ -42,6 +44,8 @@
   run_phase phase = run_phase::kIdle;
   /// Id of the worker that the run is on; empty while idle.
   std::string worker;
+  /// Entry of that worker; null while idle. Stays valid, since a worker with assigned tasks is not removed.
+  const worker_entry* host = nullptr;
   /// True once the worker has confirmed the start or listed the run.
   bool confirmed = false;
   /// True once the worker has replied to the stop.
@@ -85,9 +89,8 @@
   /// its duration.
   bool is_run_time_sample = false;
   /// When the latest run was ordered; moved to the time at which the worker confirms it or first lists it.
+  /// Estimated from its progress if an earlier owner started it.
   boot_time started_at{};
-  /// When `checkpoint` last changed, or the latest run was ordered if that is later.
-  boot_time checkpoint_at{};
 
   /// Returns whether no task of the unit runs or may run.
   bool IsIdle() const;
--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -1,7 +1,10 @@
 #include "state/pool/pool_plan.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
+#include <unordered_map>
+#include <unordered_set>
 
 #include "state/pool/preemption.h"
 #include "state/pool/unit_placement.h"
@@ -29,10 +32,12 @@
       : state_(state), now_(now), wall_now_(wall_now) {
     for (const auto& [id, worker] : state.workers()) {
       if (!worker.IsUsable(now)) continue;
-      slot_of_[id] = static_cast<int>(free_.size());
+      slot_of_[&worker] = static_cast<int>(free_.size());
       free_.push_back({&worker, worker.Free()});
     }
     free_after_stops_ = free_;
+    index_ = MakeRackIndex(free_);
+    within_guarantee_ = WorkspacesWithinGuarantee(state);
     for (const worker_slot& slot : free_) {
       total_ += slot.worker->registration.capacity;
       total_free_ += slot.free;
@@ -42,47 +47,42 @@
 
   pool_plan Run() {
     StopLeavingAndStalledUnits();
-    std::set<unit_position> unplaced_steps;
-    for (const waiting_unit& unit : MakeUnitQueue(state_, now_, wall_now_)) {
-      // Units of a step are identical, so if one cannot be placed, neither can the others.
-      unit_position step = unit.position;
-      step.unit = 0;
-      if (unplaced_steps.contains(step)) {
-        ++plan_.waiting;
-        continue;
+    for (const waiting_step& step : MakeStepQueue(state_, within_guarantee_, now_, wall_now_)) {
+      for (std::size_t i = 0; i < step.units.size(); ++i) {
+        if (TryPlace(step, step.units[i])) continue;
+        // Units of a step are identical, so if one cannot be placed, neither can the others.
+        plan_.waiting += static_cast<int>(step.units.size() - i);
+        break;
       }
-      if (TryPlace(unit)) continue;
-      ++plan_.waiting;
-      unplaced_steps.insert(step);
     }
-    return plan_;
+    return std::move(plan_);
   }
 
  private:
   struct running_unit {
-    unit_position position;
     const job_entry* job;
+    int occurrence;
+    int number;
+    int index;
     const step_request* step;
     const work_unit* unit;
     int priority;
+
+    unit_position Position() const { return {job->submission.id, occurrence, number, index}; }
   };
 
   // Adds the capacity of runs that are being stopped to `free_after_stops_`, and collects the other active
   // units.
   void CollectUnits() {
-    for (const auto& [id, job] : state_.jobs()) {
-      const int priority = QueuePriority(state_, job);
-      for (const auto& [number, occurrence] : job.occurrences) {
+    for (const auto& [id, job] : state_.open_jobs()) {
+      const int priority = QueuePriority(state_, *job);
+      for (const auto& [number, occurrence] : job->occurrences) {
         for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
           const auto& units = occurrence.steps[step].units;
           for (std::size_t unit = 0; unit < units.size(); ++unit) {
             if (units[unit].IsIdle()) continue;
-            const running_unit entry{{id, number, static_cast<int>(step), static_cast<int>(unit)},
-                                     &job,
-                                     &job.submission.request.steps[step],
-                                     &units[unit],
-                                     priority};
-            CollectUnit(entry);
+            CollectUnit({job, number, static_cast<int>(step), static_cast<int>(unit),
+                         &job->submission.request.steps[step], &units[unit], priority});
           }
         }
       }
@@ -95,7 +95,7 @@
       if (member.phase != run_phase::kStopping && !(entry.unit->done && member.phase != run_phase::kIdle))
         continue;
       stopping = true;
-      const auto slot = slot_of_.find(member.worker);
+      const auto slot = slot_of_.find(member.host);
       if (slot != slot_of_.end()) free_after_stops_[slot->second].free += entry.step->need;
     }
     if (!stopping) running_.push_back(entry);
@@ -107,14 +107,14 @@
       std::string reason;
       for (const unit_member& member : entry.unit->members) {
         if (member.phase == run_phase::kIdle) continue;
-        const worker_entry& worker = state_.workers().at(member.worker);
+        const worker_entry& worker = *member.host;
         if (MustLeave(entry, member, worker)) reason = "worker leaves before the run ends";
         if (IsStalled(member, worker))
           reason = "no progress beyond percent=" + std::to_string(member.percent);
       }
       if (reason.empty()) continue;
-      plan_.stops.push_back({entry.position, reason});
-      stopped_.insert(entry.position);
+      plan_.stops.push_back({entry.Position(), reason});
+      stopped_.insert(entry.unit);
     }
   }
 
@@ -138,61 +138,57 @@
     return ran * (100 - member.percent) / member.percent;
   }
 
-  unit_shape MakeShape(const waiting_unit& entry) const {
+  unit_shape MakeShape(const waiting_step& entry, const work_unit& unit) const {
     unit_shape shape;
-    shape.step = entry.step;
+    shape.step = entry.request;
     shape.service = ServiceOf(*entry.job);
-    shape.members = static_cast<int>(entry.unit->members.size());
-    shape.avoided = entry.unit->failed_on;
-    if (entry.step->max_per_worker == 0) return shape;
-    const auto& step = entry.job->occurrences.at(entry.position.occurrence).steps[entry.position.step];
-    for (const work_unit& unit : step.units) {
-      for (const unit_member& member : unit.members) {
+    shape.members = static_cast<int>(unit.members.size());
+    shape.avoided = unit.failed_on;
+    if (entry.request->max_per_worker == 0) return shape;
+    for (const work_unit& other : entry.progress->units) {
+      for (const unit_member& member : other.members) {
         if (member.phase != run_phase::kIdle) ++shape.already_on[member.worker];
       }
     }
-    for (const auto& [position, worker] : placed_members_) {
-      if (position.job == entry.position.job && position.occurrence == entry.position.occurrence &&
-          position.step == entry.position.step) {
-        ++shape.already_on[worker];
-      }
+    for (const auto& [step, worker] : placed_members_) {
+      if (step == entry.progress) ++shape.already_on[worker];
     }
     return shape;
   }
 
   std::string_view ServiceOf(const job_entry& job) const {
-    const queue_rules* rules =
-        state_.config() == nullptr ? nullptr : state_.config()->FindQueueByName(job.submission.queue);
+    const queue_rules* rules = state_.RulesOf(job);
     return rules == nullptr ? job.submission.service : rules->service;
   }
 
   // Units of lower priority than 0 leave some capacity free, so that units of priority 0 start without
   // waiting for a stop. They may use all of it once their job has little slack.
-  bool MayUseHeadroom(const waiting_unit& entry) const {
+  bool MayUseHeadroom(const waiting_step& entry, const work_unit& unit) const {
     if (entry.priority == 0 || entry.has_little_slack) return true;
-    if (now_ - entry.unit->ready_at >= kMaxHeadroomWait && !entry.job->HasActiveUnits()) return true;
+    if (now_ - unit.ready_at >= kMaxHeadroomWait && !entry.job->HasActiveUnits()) return true;
     const double headroom = state_.settings().headroom;
     const auto leaves_headroom = [headroom](std::int64_t free, std::int64_t need, std::int64_t total) {
       return static_cast<double>(free - need) >= headroom * static_cast<double>(total);
     };
-    const resources& need = entry.step->need;
-    const auto members = static_cast<std::int64_t>(entry.unit->members.size());
+    const resources& need = entry.request->need;
+    const auto members = static_cast<std::int64_t>(unit.members.size());
     return leaves_headroom(total_free_.accelerators, need.accelerators * members, total_.accelerators) &&
            leaves_headroom(total_free_.cpu_millis, need.cpu_millis * members, total_.cpu_millis);
   }
 
-  // Starts `entry`, or reserves capacity for it that becomes free after stops. Returns false if neither is
-  // possible.
-  bool TryPlace(const waiting_unit& entry) {
-    if (!MayUseHeadroom(entry)) return false;
-    const unit_shape shape = MakeShape(entry);
-    const placement_reach reach = ChooseReach(entry, shape);
-    if (const auto places = PlaceUnit(free_, shape, reach)) {
-      Start(entry, *places, reach);
+  // Starts the unit `number` of `entry`, or reserves capacity for it that becomes free after stops. Returns
+  // false if neither is possible.
+  bool TryPlace(const waiting_step& entry, int number) {
+    const work_unit& unit = entry.progress->units[number];
+    if (!MayUseHeadroom(entry, unit)) return false;
+    const unit_shape shape = MakeShape(entry, unit);
+    const placement_reach reach = ChooseReach(entry, unit, shape);
+    if (const auto places = PlaceUnit(free_, index_, shape, reach)) {
+      Start(entry, number, *places, reach);
       return true;
     }
-    if (const auto places = PlaceUnit(free_after_stops_, shape, reach)) {
-      Reserve(*entry.step, *places);
+    if (const auto places = PlaceUnit(free_after_stops_, index_, shape, reach)) {
+      Reserve(*entry.request, *places);
       return true;
     }
     return entry.priority == 0 && entry.outlook != deadline_outlook::kMissed && Preempt(entry, shape, reach);
@@ -205,25 +201,28 @@
 
   // A remote placement is allowed if a near one is impossible even on empty workers, or once the unit has
   // waited longer than the extra time that a remote run takes.
-  placement_reach ChooseReach(const waiting_unit& entry, const unit_shape& shape) const {
-    if (!IsLocalitySensitive(*entry.step)) return placement_reach::kAnywhere;
-    if (!FitsNearWhenEmpty(free_, shape)) return placement_reach::kAnywhere;
-    const auto waited = now_ - entry.unit->ready_at;
-    const auto extra_time = static_cast<double>(state_.ExpectedTime(*entry.job, *entry.step).count()) *
+  placement_reach ChooseReach(const waiting_step& entry, const work_unit& unit,
+                              const unit_shape& shape) const {
+    if (!IsLocalitySensitive(*entry.request)) return placement_reach::kAnywhere;
+    if (!FitsNearWhenEmpty(free_, index_, shape)) return placement_reach::kAnywhere;
+    const auto waited = now_ - unit.ready_at;
+    const auto extra_time = static_cast<double>(state_.ExpectedTime(*entry.job, *entry.request).count()) *
                             (state_.settings().remote_run_factor - 1.0);
     return static_cast<double>(waited.count()) > extra_time ? placement_reach::kAnywhere
                                                             : placement_reach::kNear;
   }
 
-  void Start(const waiting_unit& entry, const std::vector<int>& places, placement_reach reach) {
-    planned_start start{
-        entry.position, {}, reach == placement_reach::kAnywhere && IsLocalitySensitive(*entry.step)};
+  void Start(const waiting_step& entry, int number, const std::vector<int>& places, placement_reach reach) {
+    planned_start start{entry.Position(number),
+                        {},
+                        reach == placement_reach::kAnywhere && IsLocalitySensitive(*entry.request)};
     for (const int place : places) {
       start.workers.push_back(free_[place].worker->registration.id);
-      placed_members_.emplace_back(entry.position, start.workers.back());
-      free_[place].free -= entry.step->need;
-      total_free_ -= entry.step->need;
-      free_after_stops_[place].free -= entry.step->need;
+      if (entry.request->max_per_worker > 0)
+        placed_members_.emplace_back(entry.progress, start.workers.back());
+      free_[place].free -= entry.request->need;
+      total_free_ -= entry.request->need;
+      free_after_stops_[place].free -= entry.request->need;
     }
     plan_.starts.push_back(std::move(start));
   }
@@ -243,58 +242,70 @@
     }
   }
 
-  bool IsVictim(const running_unit& running, const waiting_unit& entry) const {
-    if (running.job == entry.job || stopped_.contains(running.position)) return false;
+  bool IsVictim(const running_unit& running, const waiting_step& entry) const {
+    if (running.job == entry.job || stopped_.contains(running.unit)) return false;
     if (running.priority > entry.priority) return true;
-    if (!entry.is_guaranteed) return false;
-    const std::set<std::string> within_guarantee = WorkspacesWithinGuarantee(state_);
-    return !within_guarantee.contains(running.job->submission.workspace);
+    return entry.is_guaranteed && !within_guarantee_.contains(running.job->submission.workspace);
   }
 
-  bool Preempt(const waiting_unit& entry, const unit_shape& shape, placement_reach reach) {
-    std::vector<preemption_victim> victims;
+  // Lists all running units as candidates; their indices are those of `running_`.
+  const preemption_candidates& Candidates() {
+    if (candidates_) return *candidates_;
+    candidates_.emplace();
+    candidates_->victims.reserve(running_.size());
     for (const running_unit& running : running_) {
-      if (!IsVictim(running, entry)) continue;
-      preemption_victim victim{
-          running.position, running.step, {}, LostWork(*running.step, *running.unit, now_)};
+      preemption_victim victim{running.step, {}, LostWork(*running.step, *running.unit, now_)};
       for (const unit_member& member : running.unit->members) {
-        const auto slot = slot_of_.find(member.worker);
+        const auto slot = slot_of_.find(member.host);
         if (member.phase != run_phase::kIdle && slot != slot_of_.end()) victim.slots.push_back(slot->second);
       }
-      victims.push_back(std::move(victim));
+      candidates_->victims.push_back(std::move(victim));
     }
-    std::optional<preemption_choice> choice = ChoosePreemption(free_after_stops_, shape, victims, reach);
+    candidates_->IndexBySlot();
+    return *candidates_;
+  }
+
+  bool Preempt(const waiting_step& entry, const unit_shape& shape, placement_reach reach) {
+    const preemption_candidates& candidates = Candidates();
+    const auto is_allowed = [&](int victim) { return IsVictim(running_[victim], entry); };
+    std::optional<preemption_choice> choice =
+        ChoosePreemption(free_after_stops_, index_, shape, candidates, is_allowed, reach);
     if (!choice && entry.is_guaranteed) {
-      choice = ChoosePreemption(free_after_stops_, shape, victims, placement_reach::kAnywhere);
+      choice = ChoosePreemption(free_after_stops_, index_, shape, candidates, is_allowed,
+                                placement_reach::kAnywhere);
     }
     if (!choice) return false;
     for (const int index : choice->victims) {
-      const preemption_victim& victim = victims[index];
-      plan_.stops.push_back({victim.position, "preempted by " + entry.position.job});
-      stopped_.insert(victim.position);
+      const preemption_victim& victim = candidates.victims[index];
+      plan_.stops.push_back({running_[index].Position(), "preempted by " + entry.job->submission.id});
+      stopped_.insert(running_[index].unit);
       for (const int slot : victim.slots) free_after_stops_[slot].free += victim.step->need;
     }
-    Reserve(*entry.step, choice->places);
+    Reserve(*entry.request, choice->places);
     return true;
   }
 
   const pool_state& state_;
   const boot_time now_;
   const unix_time wall_now_;
-  // Slot index by worker id; usable workers only.
-  std::map<std::string, int> slot_of_;
+  // Slot index by worker; usable workers only.
+  std::unordered_map<const worker_entry*, int> slot_of_;
+  std::set<std::string> within_guarantee_;
   // Capacity that is free now, and that is free once all runs being stopped have ended.
   capacity_slots free_;
   capacity_slots free_after_stops_;
+  rack_index index_;
   // Total capacity of all usable workers, and the free part of it.
   resources total_;
   resources total_free_;
   // Active units that are not being stopped.
   std::vector<running_unit> running_;
   // Units that this pass has decided to stop.
-  std::set<unit_position> stopped_;
-  // Unit and worker of each member that this pass starts, for the limit of tasks per worker.
-  std::vector<std::pair<unit_position, std::string>> placed_members_;
+  std::unordered_set<const work_unit*> stopped_;
+  // Step and worker of each member that this pass starts, for the limit of tasks per worker.
+  std::vector<std::pair<const step_progress*, std::string>> placed_members_;
+  // Empty until the first unit needs a preemption.
+  std::optional<preemption_candidates> candidates_;
   pool_plan plan_;
 };
 
--- a/src/state/pool/pool_settings.h
+++ b/src/state/pool/pool_settings.h
@@ -13,6 +13,10 @@
   /// Time within which all members of a gang must have started.
   std::chrono::milliseconds gang_timeout{3000};
 
+  /// Maximum age of the known jobs and registrations with which units are started. Older knowledge may miss
+  /// the cancellation of a job or the notice that a worker leaves.
+  std::chrono::milliseconds max_feed_age{1500};
+
   /// Share of the pool's accelerators, and of its CPU, that must stay free when a unit of lower priority than
   /// 0 starts. It does not apply if the unit's job has little slack, or if the unit has waited for some time
   /// and its job has no active unit. A smaller share makes units of priority 0 wait for stops, and a larger
--- a/src/state/pool/pool_state.cpp
+++ b/src/state/pool/pool_state.cpp
@@ -81,8 +81,21 @@
   return location;
 }
 
+void pool_state::SetConfig(std::shared_ptr<const pool_config> config) {
+  if (config == config_) return;
+  config_ = std::move(config);
+  rules_by_queue_.clear();
+  if (config_ == nullptr) return;
+  for (const queue_rules& rules : config_->queues) rules_by_queue_.emplace(rules.name, &rules);
+}
+
+const queue_rules* pool_state::RulesOf(const job_entry& job) const {
+  const auto found = rules_by_queue_.find(job.submission.queue);
+  return found == rules_by_queue_.end() ? nullptr : found->second;
+}
+
 int pool_state::MaxAttempts(const job_entry& job) const {
-  const queue_rules* rules = config_ == nullptr ? nullptr : config_->FindQueueByName(job.submission.queue);
+  const queue_rules* rules = RulesOf(job);
   return rules == nullptr ? job.submission.max_attempts : rules->max_attempts;
 }
 
@@ -91,6 +104,7 @@
   const auto [found, is_new] = jobs_.emplace(id, std::move(job));
   if (!is_new) return;
   job_entry& entry = found->second;
+  if (!IsFinal(entry.phase)) open_jobs_.emplace(found->first, &entry);
   for (auto& [number, occurrence] : entry.occurrences) {
     MarkReadySteps(entry.submission.request, occurrence, now);
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -128,7 +142,9 @@
   for (auto& [number, occurrence] : job.occurrences) {
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
       for (std::size_t unit = 0; unit < occurrence.steps[step].units.size(); ++unit) {
-        if (occurrence.steps[step].units[unit].IsIdle()) continue;
+        // The members of a gang that is done have all ended; only some of their ends are listed so far.
+        const work_unit& entry = occurrence.steps[step].units[unit];
+        if (entry.IsIdle() || entry.done) continue;
         const unit_position position{job.submission.id, number, static_cast<int>(step),
                                      static_cast<int>(unit)};
         StopUnit(position, "job ended");
@@ -138,9 +154,12 @@
 }
 
 std::vector<std::string> pool_state::ForgetJobs(boot_time limit) {
+  std::erase_if(open_jobs_, [](const auto& entry) {
+    return IsFinal(entry.second->phase) && !entry.second->HasActiveUnits();
+  });
   std::vector<std::string> forgotten;
   for (auto job = jobs_.begin(); job != jobs_.end();) {
-    if (job->second.final_at && *job->second.final_at < limit && !job->second.HasActiveUnits()) {
+    if (job->second.final_at && *job->second.final_at < limit && !open_jobs_.contains(job->first)) {
       forgotten.push_back(job->first);
       job = jobs_.erase(job);
     } else {
@@ -151,15 +170,15 @@
 }
 
 void pool_state::MakeDueOccurrences(boot_time now, unix_time wall_now) {
-  for (auto& [id, job] : jobs_) {
-    if (IsFinal(job.phase)) continue;
-    const job_request& request = job.submission.request;
+  for (const auto& [id, job] : open_jobs_) {
+    if (IsFinal(job->phase)) continue;
+    const job_request& request = job->submission.request;
     const int count = std::max(1, request.occurrences);
     for (int k = 0; k < count; ++k) {
-      if (job.finished_occurrences.contains(k) || job.occurrences.contains(k)) continue;
+      if (job->finished_occurrences.contains(k) || job->occurrences.contains(k)) continue;
       const unix_time due{request.first_due + k * request.interval};
       if (request.occurrences > 0 && wall_now < due) break;
-      occurrence_progress& occurrence = job.occurrences[k] = MakeOccurrence(request);
+      occurrence_progress& occurrence = job->occurrences[k] = MakeOccurrence(request);
       MarkReadySteps(request, occurrence, now);
     }
   }
@@ -204,6 +223,7 @@
   *location.member = unit_member{};
   location.member->phase = phase;
   location.member->worker = worker.registration.id;
+  location.member->host = &worker;
   worker.used += location.step->need;
   worker.tasks.insert(task);
 }
@@ -231,7 +251,6 @@
   const step_request& step = job.submission.request.steps[position.step];
   ++unit->last_run;
   unit->started_at = now;
-  unit->checkpoint_at = now;
   unit->is_run_time_sample = unit->checkpoint.empty() && !is_remote;
   for (std::size_t i = 0; i < workers.size(); ++i) {
     worker_entry& worker = workers_.at(workers[i]);
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "state/pool/job_entry.h"
@@ -48,9 +50,12 @@
 class pool_state {
  public:
   pool_state(pool_settings settings, std::int64_t epoch);
+  // Entries refer to each other by pointer.
+  pool_state(const pool_state&) = delete;
+  pool_state& operator=(const pool_state&) = delete;
 
   /// Replaces the current configuration.
-  void SetConfig(std::shared_ptr<const pool_config> config) { config_ = std::move(config); }
+  void SetConfig(std::shared_ptr<const pool_config> config);
 
   /// Adds a job that is new or was loaded from the store. Does nothing if the job is known.
   void AddJob(job_entry job, boot_time now);
@@ -131,6 +136,12 @@
   /// queue, or else the one at its submission.
   int MaxAttempts(const job_entry& job) const;
 
+  /// Returns the rules of the queue of `job` in the current configuration, or null if there are none.
+  const queue_rules* RulesOf(const job_entry& job) const;
+
+  /// Jobs that are not final or still have active units, by id. Planning visits only these, so its cost does
+  /// not depend on how many final jobs are kept for queries.
+  const std::map<std::string_view, job_entry*>& open_jobs() const { return open_jobs_; }
   const std::map<std::string, job_entry>& jobs() const { return jobs_; }
   std::map<std::string, job_entry>& jobs() { return jobs_; }
   const std::map<std::string, worker_entry>& workers() const { return workers_; }
@@ -200,7 +211,10 @@
   const pool_settings settings_;
   const std::int64_t epoch_;
   std::shared_ptr<const pool_config> config_;
+  // Rules of `config_` by queue name. A configuration can have more than a thousand queues.
+  std::unordered_map<std::string_view, const queue_rules*> rules_by_queue_;
   std::map<std::string, job_entry> jobs_;
+  std::map<std::string_view, job_entry*> open_jobs_;
   std::map<std::string, worker_entry> workers_;
   // Units that cannot start because of an unresolved worker, by worker id.
   std::map<std::string, std::vector<unit_position>> unresolved_units_;
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -223,7 +223,9 @@
     // A run that an earlier owner started.
     unit.last_run = std::max(unit.last_run, run.run);
     unit.is_run_time_sample = false;
-    unit.started_at = now;
+    // The start is not known to this owner, so it is estimated from the progress.
+    unit.started_at =
+        now - ExpectedTime(*location->job, *location->step) * std::clamp(run.percent, 0, 100) / 100;
     Allocate(*location, worker, run_phase::kRunning);
     member.confirmed = true;
     member.last_reply_call = NextCallNumber();
@@ -239,10 +241,7 @@
     member.percent = run.percent;
     member.progress_at = now;
   }
-  if (!run.checkpoint.empty() && run.checkpoint != unit.checkpoint) {
-    unit.checkpoint = run.checkpoint;
-    unit.checkpoint_at = now;
-  }
+  if (!run.checkpoint.empty()) unit.checkpoint = run.checkpoint;
 }
 
 void pool_state::StopForeignRun(worker_entry& worker, const listed_run& run) {
@@ -288,7 +287,6 @@
   if (unit.done || IsFinal(location->job->phase)) return;
   if (!end.checkpoint.empty() && !superseded) {
     unit.checkpoint = end.checkpoint;
-    unit.checkpoint_at = now;
     MarkChanged(*location->job, false);
   }
   switch (end.kind) {
--- a/src/state/pool/preemption.h
+++ b/src/state/pool/preemption.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <map>
+#include <functional>
 #include <optional>
-#include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "state/pool/pool_state.h"
@@ -12,7 +12,6 @@
 
 /// A unit whose runs may be stopped in favor of a more urgent unit.
 struct preemption_victim {
-  unit_position position;
   /// Step of the unit. Not null.
   const step_request* step = nullptr;
   /// Index into the capacity slots, for each member of the unit that is on a usable worker.
@@ -21,9 +20,19 @@
   double lost_work = 0;
 };
 
+/// All running units that could be stopped. Built once for a planning pass, which may preempt for many units.
+struct preemption_candidates {
+  std::vector<preemption_victim> victims;
+  /// Indices of the victims on each slot, by increasing lost work.
+  std::unordered_map<int, std::vector<int>> by_slot;
+
+  /// Fills `by_slot` from `victims`.
+  void IndexBySlot();
+};
+
 /// Units to stop, and the placement that this allows.
 struct preemption_choice {
-  /// Indices into the list of candidates.
+  /// Indices into the victims of the candidates.
   std::vector<int> victims;
   /// Index into the capacity slots, for each member of the placed unit.
   std::vector<int> places;
@@ -32,13 +41,16 @@
 };
 
 /// Returns the work that is lost if `unit` is stopped at `now`, in core-seconds: what it has done since its
-/// checkpoint, or since its start if it cannot resume. An accelerator counts as eight cores.
+/// start, or the time to resume if it saves its progress. An accelerator counts as eight cores.
 double LostWork(const step_request& step, const work_unit& unit, boot_time now);
 
-/// Chooses victims that lose little work so that `shape` fits within `reach`. Returns nullopt if no choice of
-/// victims makes enough room.
-std::optional<preemption_choice> ChoosePreemption(const capacity_slots& slots, const unit_shape& shape,
-                                                  const std::vector<preemption_victim>& victims,
+/// Chooses victims that lose little work so that `shape` fits within `reach`. Only the victims with an index
+/// for which `is_allowed` returns true are considered. Returns nullopt if no choice of them makes enough
+/// room.
+std::optional<preemption_choice> ChoosePreemption(const capacity_slots& slots, const rack_index& index,
+                                                  const unit_shape& shape,
+                                                  const preemption_candidates& candidates,
+                                                  const std::function<bool(int)>& is_allowed,
                                                   placement_reach reach);
 
 }  // namespace hickorystall::state::pool
--- a/src/state/pool/unit_placement.cpp
+++ b/src/state/pool/unit_placement.cpp
@@ -19,8 +19,27 @@
   return sum;
 }
 
+// Order in which workers are filled; the lowest comes first.
+auto FillOrder(const worker_slot& slot, const unit_shape& shape, int index) {
+  return std::tuple(shape.avoided.contains(slot.worker->registration.id), slot.worker->failures_in_row,
+                    slot.free.accelerators, slot.free.cpu_millis, index);
+}
+
+// As PlaceInGroup, for a unit with one member, which needs neither a list of the fitting slots nor a sort.
+std::optional<std::vector<int>> PlaceSingle(const capacity_slots& slots, const unit_shape& shape,
+                                            const std::vector<int>& group) {
+  int best = -1;
+  for (const int index : group) {
+    if (MembersThatFit(slots[index], shape, 1) == 0) continue;
+    if (best < 0 || FillOrder(slots[index], shape, index) < FillOrder(slots[best], shape, best)) best = index;
+  }
+  if (best < 0) return std::nullopt;
+  return std::vector<int>{best};
+}
+
 std::optional<std::vector<int>> PlaceInGroup(const capacity_slots& slots, const unit_shape& shape,
                                              const std::vector<int>& group) {
+  if (shape.members == 1) return PlaceSingle(slots, shape, group);
   std::vector<int> order;
   int member_capacity = 0;
   for (const int index : group) {
@@ -30,12 +49,9 @@
     member_capacity += fits;
   }
   if (member_capacity < shape.members) return std::nullopt;
-  const auto key = [&slots, &shape](int index) {
-    const worker_slot& slot = slots[index];
-    return std::tuple(shape.avoided.contains(slot.worker->registration.id), slot.worker->failures_in_row,
-                      slot.free.accelerators, slot.free.cpu_millis, index);
-  };
-  std::sort(order.begin(), order.end(), [&key](int left, int right) { return key(left) < key(right); });
+  std::sort(order.begin(), order.end(), [&](int left, int right) {
+    return FillOrder(slots[left], shape, left) < FillOrder(slots[right], shape, right);
+  });
   std::vector<int> places;
   for (const int index : order) {
     const int left = shape.members - static_cast<int>(places.size());
@@ -55,11 +71,12 @@
 }
 
 int MembersThatFit(const worker_slot& slot, const unit_shape& shape, int limit) {
-  if (!IsEligible(*slot.worker, shape)) return 0;
   const resources& need = shape.step->need;
   int fits = CountFitting(slot.free.cpu_millis, need.cpu_millis, limit);
   fits = CountFitting(slot.free.memory_mib, need.memory_mib, fits);
   fits = CountFitting(slot.free.accelerators, need.accelerators, fits);
+  // Most slots of a loaded pool are full, and the numbers are compared faster than the names.
+  if (fits == 0 || !IsEligible(*slot.worker, shape)) return 0;
   if (shape.step->max_per_worker > 0) {
     const auto already = shape.already_on.find(slot.worker->registration.id);
     const int current = already == shape.already_on.end() ? 0 : already->second;
@@ -68,30 +85,39 @@
   return fits;
 }
 
-std::vector<std::vector<int>> PlacementGroups(const capacity_slots& slots, const unit_shape& shape,
-                                              placement_reach reach) {
-  const bool near = reach == placement_reach::kNear;
-  const bool by_rack = near && shape.step->same_rack && shape.members > 1;
-  std::map<std::string_view, std::vector<int>> groups;
+rack_index MakeRackIndex(const capacity_slots& slots) {
+  rack_index index;
+  index.all.reserve(slots.size());
   for (std::size_t i = 0; i < slots.size(); ++i) {
-    const std::string& rack = slots[i].worker->registration.rack;
-    if (near && !shape.step->data_rack.empty() && rack != shape.step->data_rack) continue;
-    groups[by_rack ? std::string_view(rack) : std::string_view()].push_back(static_cast<int>(i));
+    index.racks[slots[i].worker->registration.rack].push_back(static_cast<int>(i));
+    index.all.push_back(static_cast<int>(i));
+  }
+  return index;
+}
+
+std::vector<const std::vector<int>*> PlacementGroups(const rack_index& index, const unit_shape& shape,
+                                                     placement_reach reach) {
+  if (reach == placement_reach::kAnywhere) return {&index.all};
+  if (!shape.step->data_rack.empty()) {
+    const auto found = index.racks.find(shape.step->data_rack);
+    if (found == index.racks.end()) return {};
+    return {&found->second};
   }
-  std::vector<std::vector<int>> result;
-  result.reserve(groups.size());
-  for (auto& [rack, group] : groups) result.push_back(std::move(group));
-  return result;
+  if (!shape.step->same_rack || shape.members == 1) return {&index.all};
+  std::vector<const std::vector<int>*> groups;
+  groups.reserve(index.racks.size());
+  for (const auto& [rack, group] : index.racks) groups.push_back(&group);
+  return groups;
 }
 
-std::optional<std::vector<int>> PlaceUnit(const capacity_slots& slots, const unit_shape& shape,
-                                          placement_reach reach) {
+std::optional<std::vector<int>> PlaceUnit(const capacity_slots& slots, const rack_index& index,
+                                          const unit_shape& shape, placement_reach reach) {
   std::optional<std::vector<int>> best;
   std::int64_t best_free = std::numeric_limits<std::int64_t>::max();
-  for (const std::vector<int>& group : PlacementGroups(slots, shape, reach)) {
-    const std::int64_t free = FreeAccelerators(slots, group);
+  for (const std::vector<int>* group : PlacementGroups(index, shape, reach)) {
+    const std::int64_t free = FreeAccelerators(slots, *group);
     if (free >= best_free) continue;
-    std::optional<std::vector<int>> places = PlaceInGroup(slots, shape, group);
+    std::optional<std::vector<int>> places = PlaceInGroup(slots, shape, *group);
     if (!places) continue;
     best = std::move(places);
     best_free = free;
@@ -99,12 +125,12 @@
   return best;
 }
 
-bool FitsNearWhenEmpty(const capacity_slots& slots, const unit_shape& shape) {
+bool FitsNearWhenEmpty(const capacity_slots& slots, const rack_index& index, const unit_shape& shape) {
   capacity_slots empty = slots;
   for (worker_slot& slot : empty) slot.free = slot.worker->registration.capacity;
   unit_shape empty_shape = shape;
   empty_shape.already_on.clear();
-  return PlaceUnit(empty, empty_shape, placement_reach::kNear).has_value();
+  return PlaceUnit(empty, index, empty_shape, placement_reach::kNear).has_value();
 }
 
 }  // namespace hickorystall::state::pool
--- a/src/state/pool/unit_placement.h
+++ b/src/state/pool/unit_placement.h
@@ -24,6 +24,15 @@
 /// ended".
 using capacity_slots = std::vector<worker_slot>;
 
+/// Indices of the slots by rack, and of all slots. Computed once for each planning pass.
+struct rack_index {
+  std::map<std::string_view, std::vector<int>> racks;
+  std::vector<int> all;
+};
+
+/// Returns the index of `slots`. It refers to the rack names of the workers.
+rack_index MakeRackIndex(const capacity_slots& slots);
+
 /// Placement requirements of a unit.
 struct unit_shape {
   /// Step of the unit. Not null.
@@ -56,16 +65,17 @@
 /// that can hold the unit, the one with the fewest free accelerators is used. Within it, workers on which the
 /// unit failed come last, then those with more consecutive failures; the remaining order is the fullest
 /// worker first, so that whole workers and racks stay free for large gangs.
-std::optional<std::vector<int>> PlaceUnit(const capacity_slots& slots, const unit_shape& shape,
-                                          placement_reach reach);
+std::optional<std::vector<int>> PlaceUnit(const capacity_slots& slots, const rack_index& index,
+                                          const unit_shape& shape, placement_reach reach);
 
 /// Returns whether `shape` could be placed near if all workers were empty. Otherwise it makes no sense to
 /// wait for a near placement.
-bool FitsNearWhenEmpty(const capacity_slots& slots, const unit_shape& shape);
+bool FitsNearWhenEmpty(const capacity_slots& slots, const rack_index& index, const unit_shape& shape);
 
 /// Returns the groups of slots, as indices, each of which may hold the whole unit. This is one group per rack
-/// if the members must share a rack, and otherwise a single group with all slots within `reach`.
-std::vector<std::vector<int>> PlacementGroups(const capacity_slots& slots, const unit_shape& shape,
-                                              placement_reach reach);
+/// if the members must share a rack, and otherwise a single group with all slots within `reach`. The pointers
+/// refer to `index`.
+std::vector<const std::vector<int>*> PlacementGroups(const rack_index& index, const unit_shape& shape,
+                                                     placement_reach reach);
 
 }  // namespace hickorystall::state::pool
--- a/src/state/pool/unit_queue.cpp
+++ b/src/state/pool/unit_queue.cpp
@@ -1,6 +1,8 @@
 #include "state/pool/unit_queue.h"
 
 #include <algorithm>
+#include <optional>
+#include <string_view>
 #include <tuple>
 
 namespace hickorystall::state::pool {
@@ -81,16 +83,15 @@
 }  // namespace
 
 int QueuePriority(const pool_state& state, const job_entry& job) {
-  const queue_rules* rules =
-      state.config() == nullptr ? nullptr : state.config()->FindQueueByName(job.submission.queue);
+  const queue_rules* rules = state.RulesOf(job);
   return rules == nullptr ? job.submission.priority : rules->priority;
 }
 
 std::set<std::string> WorkspacesWithinGuarantee(const pool_state& state) {
   std::map<std::string, std::int64_t> need;
-  for (const auto& [id, job] : state.jobs()) {
-    if (IsFinal(job.phase) || QueuePriority(state, job) != 0) continue;
-    need[job.submission.workspace] += AcceleratorNeed(job);
+  for (const auto& [id, job] : state.open_jobs()) {
+    if (IsFinal(job->phase) || QueuePriority(state, *job) != 0) continue;
+    need[job->submission.workspace] += AcceleratorNeed(*job);
   }
   std::set<std::string> within_guarantee;
   for (const auto& [workspace, accelerators] : need) {
@@ -117,46 +118,63 @@
   return longest;
 }
 
-std::vector<waiting_unit> MakeUnitQueue(const pool_state& state, boot_time now, unix_time wall_now) {
-  std::vector<waiting_unit> queue;
-  const std::set<std::string> within_guarantee = WorkspacesWithinGuarantee(state);
+namespace {
+
+// Returns the indices of the units of `step` that may start now.
+std::vector<int> StartableUnits(const step_progress& step, boot_time now) {
+  std::vector<int> startable;
+  if (!step.ready || step.open_units == 0) return startable;
+  for (std::size_t i = 0; i < step.units.size(); ++i) {
+    const work_unit& unit = step.units[i];
+    if (unit.done || !unit.IsIdle() || !unit.unresolved_workers.empty() || now < unit.repeatable_until)
+      continue;
+    startable.push_back(static_cast<int>(i));
+  }
+  return startable;
+}
+
+}  // namespace
+
+std::vector<waiting_step> MakeStepQueue(const pool_state& state,
+                                        const std::set<std::string>& within_guarantee, boot_time now,
+                                        unix_time wall_now) {
+  std::vector<waiting_step> queue;
   const std::set<unit_position> units_with_unaccounted_runs = UnitsWithUnaccountedRuns(state);
-  for (const auto& [id, job] : state.jobs()) {
-    if (IsFinal(job.phase)) continue;
-    const int priority = QueuePriority(state, job);
-    for (const auto& [number, occurrence] : job.occurrences) {
-      if (occurrence.IsDone()) continue;
-      const job_timing timing = AssessTiming(state, job, number, now, wall_now);
+  for (const auto& [id, job] : state.open_jobs()) {
+    if (IsFinal(job->phase)) continue;
+    const int priority = QueuePriority(state, *job);
+    for (const auto& [number, occurrence] : job->occurrences) {
+      std::optional<job_timing> timing;
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-        if (!occurrence.steps[step].ready || occurrence.steps[step].open_units == 0) continue;
-        const auto& units = occurrence.steps[step].units;
-        for (std::size_t unit = 0; unit < units.size(); ++unit) {
-          if (units[unit].done || !units[unit].IsIdle() || !units[unit].unresolved_workers.empty() ||
-              now < units[unit].repeatable_until) {
-            continue;
-          }
-          waiting_unit entry;
-          entry.position = {id, number, static_cast<int>(step), static_cast<int>(unit)};
-          if (units_with_unaccounted_runs.contains(entry.position)) continue;
-          entry.job = &job;
-          entry.step = &job.submission.request.steps[step];
-          entry.unit = &units[unit];
-          entry.priority = priority;
-          entry.is_guaranteed = priority == 0 && within_guarantee.contains(job.submission.workspace);
-          entry.outlook = timing.outlook;
-          entry.due = timing.due;
-          entry.has_little_slack = timing.has_little_slack;
-          queue.push_back(entry);
+        waiting_step entry;
+        entry.units = StartableUnits(occurrence.steps[step], now);
+        entry.job = job;
+        entry.occurrence = number;
+        entry.number = static_cast<int>(step);
+        if (!units_with_unaccounted_runs.empty()) {
+          std::erase_if(entry.units,
+                        [&](int unit) { return units_with_unaccounted_runs.contains(entry.Position(unit)); });
         }
+        if (entry.units.empty()) continue;
+        if (!timing) timing = AssessTiming(state, *job, number, now, wall_now);
+        entry.request = &job->submission.request.steps[step];
+        entry.progress = &occurrence.steps[step];
+        entry.priority = priority;
+        entry.is_guaranteed = priority == 0 && within_guarantee.contains(job->submission.workspace);
+        entry.outlook = timing->outlook;
+        entry.due = timing->due;
+        entry.has_little_slack = timing->has_little_slack;
+        queue.push_back(std::move(entry));
       }
     }
   }
-  const auto key = [](const waiting_unit& entry) {
+  const auto key = [](const waiting_step& entry) {
     return std::tuple(!entry.is_guaranteed, entry.outlook == deadline_outlook::kMissed, entry.priority,
-                      entry.outlook, entry.due, entry.position);
+                      entry.outlook, entry.due, std::string_view(entry.job->submission.id), entry.occurrence,
+                      entry.number);
   };
   std::sort(queue.begin(), queue.end(),
-            [&key](const waiting_unit& left, const waiting_unit& right) { return key(left) < key(right); });
+            [&key](const waiting_step& left, const waiting_step& right) { return key(left) < key(right); });
   return queue;
 }
 
--- a/src/state/pool/unit_queue.h
+++ b/src/state/pool/unit_queue.h
@@ -20,15 +20,20 @@
   kMissed,
 };
 
-/// A unit that is ready to start. Its pointers are not null and stay valid until the state changes.
-struct waiting_unit {
-  unit_position position;
+/// A step with units that are ready to start. Its pointers are not null and stay valid until the state
+/// changes. The units of a step are identical, so they share their place in the queue.
+struct waiting_step {
   const job_entry* job = nullptr;
-  const step_request* step = nullptr;
-  const work_unit* unit = nullptr;
+  int occurrence = 0;
+  /// Number of the step in its job.
+  int number = 0;
+  const step_request* request = nullptr;
+  const step_progress* progress = nullptr;
+  /// Indices of the units that may start now, in increasing order; not empty.
+  std::vector<int> units;
   /// Priority of the queue; 0 is the highest.
   int priority = 0;
-  /// True if the unit has priority 0 and all open jobs of priority 0 of its workspace together fit into the
+  /// True if the step has priority 0 and all open jobs of priority 0 of its workspace together fit into the
   /// guarantee of the workspace.
   bool is_guaranteed = false;
   deadline_outlook outlook = deadline_outlook::kInTime;
@@ -36,6 +41,8 @@
   bool has_little_slack = false;
   /// Time by which the job must end to meet its objective.
   boot_time due{};
+
+  unit_position Position(int unit) const { return {job->submission.id, occurrence, number, unit}; }
 };
 
 /// Returns the priority of the queue of `job`: that of the current configuration, or else that at submission.
@@ -49,9 +56,12 @@
 std::chrono::milliseconds RemainingCriticalPath(const pool_state& state, const job_entry& job,
                                                 int occurrence);
 
-/// Returns the units that may start now, in the order in which they are considered. Guaranteed units come
-/// before all others. Within each of these two groups, units with the outlook `kMissed` come last, so that
-/// they do not delay the others; the order is otherwise by priority, outlook and due time.
-std::vector<waiting_unit> MakeUnitQueue(const pool_state& state, boot_time now, unix_time wall_now);
+/// Returns the steps with units that may start now, in the order in which they are considered. Guaranteed
+/// steps come before all others. Within each of these two groups, steps with the outlook `kMissed` come last,
+/// so that they do not delay the others; the order is otherwise by priority, outlook and due time.
+/// `within_guarantee` is the result of `WorkspacesWithinGuarantee`.
+std::vector<waiting_step> MakeStepQueue(const pool_state& state,
+                                        const std::set<std::string>& within_guarantee, boot_time now,
+                                        unix_time wall_now);
 
 }  // namespace hickorystall::state::pool
--- a/tests/coordination/pool/memory_store.cpp
+++ b/tests/coordination/pool/memory_store.cpp
@@ -76,7 +76,7 @@
   (void)timeout;
   co_await transport::Sleep(milliseconds(1));
   rows_result result;
-  result.version = version_;
+  result.version = version_ - read_lag;
   if (is_down) result.status = absl::UnavailableError("down");
   for (const auto& [name, row] : rows_) {
     if (std::get<0>(name) == table && row.partition == partition && row.key >= from &&
@@ -89,9 +89,17 @@
 
 asio::awaitable<rows_result> memory_store::Follow(std::string table, std::int64_t version, milliseconds wait,
                                                   milliseconds timeout) {
-  (void)timeout;
   const auto end = std::chrono::steady_clock::now() + wait;
   rows_result result;
+  if (table == silent_table) {
+    co_await transport::Sleep(wait + timeout);
+    result.status = absl::DeadlineExceededError("no reply");
+    co_return result;
+  }
+  if (is_history_gone) {
+    result.status = absl::OutOfRangeError("the history is gone");
+    co_return result;
+  }
   while (true) {
     result.version = version_;
     if (is_down) result.status = absl::UnavailableError("down");
--- a/tests/coordination/pool/memory_store.h
+++ b/tests/coordination/pool/memory_store.h
@@ -28,6 +28,12 @@
 
   /// True while the store does not reply; calls then end without effect.
   bool is_down = false;
+  /// Table whose change feed does not reply; empty for none. Its calls end with the timeout.
+  std::string silent_table;
+  /// True while change feeds cannot be continued because their history is gone.
+  bool is_history_gone = false;
+  /// Number of versions by which reads of ranges are behind. Reads then return the newest rows all the same.
+  std::int64_t read_lag = 0;
   /// Table whose changes are refused; empty for none.
   std::string refused_table;
   /// Partition whose changes are refused; empty for none.
--- a/tests/coordination/pool/owner_vm.cpp
+++ b/tests/coordination/pool/owner_vm.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-// A registration is {"address": "ip:port", "born": number}.
+// A registration is {"address": "ip:port", "born": number, "draining": bool}; all fields but the address are
+// optional.
 absl::StatusOr<worker_registration> DecodeTestRegistration(const stored_row& row) {
   const auto value = nlohmann::json::parse(row.value, nullptr, false);
   if (!value.is_object()) return absl::DataLossError("no object");
@@ -27,6 +28,7 @@
   registration.rack = "rack";
   registration.labels = {"rack"};
   registration.incarnation = value.value("born", std::int64_t{1});
+  registration.draining = value.value("draining", false);
   registration.clock = worker_time(BootNow().time_since_epoch());
   return registration;
 }
--- a/tests/coordination/pool/pool_owner_test.cpp
+++ b/tests/coordination/pool/pool_owner_test.cpp
@@ -63,9 +63,9 @@
                    {kProgressTable, id, EncodeProgress(job), JobPartition(id)}}});
 }
 
-// Waits until `holds` returns true, for at most two seconds.
-asio::awaitable<bool> WaitUntil(std::function<bool()> holds) {
-  const auto end = BootNow() + std::chrono::seconds(2);
+// Waits until `holds` returns true, for at most `limit`.
+asio::awaitable<bool> WaitUntil(std::function<bool()> holds, milliseconds limit = milliseconds(2000)) {
+  const auto end = BootNow() + limit;
   while (!holds() && BootNow() < end) co_await transport::Sleep(milliseconds(5));
   co_return holds();
 }
@@ -130,6 +130,51 @@
   });
 }
 
+// Guards against starting work on a worker that left or gave notice while the feed of registrations was
+// silent: the owner took registrations that were 14.7 s old for current ones.
+TEST_CASE("nothing starts while the registrations are outdated", "[pool]") {
+  owner_fixture fixture(1);
+  owner_vm vm("a", TestOwnership(), TestPool(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    const bool owned = co_await WaitUntil([&] { return vm.is_owner(); });
+    CHECK(owned);
+    fixture.store.silent_table = kRegistryTable;
+    co_await transport::Sleep(milliseconds(2700));
+    Submit(fixture.store, kFirstJob);
+    co_await transport::Sleep(milliseconds(300));
+    CHECK(fixture.workers.starts == 0);
+    fixture.store.silent_table.clear();
+    // The call that is silent ends after 2 s.
+    const bool started = co_await WaitUntil([&] { return fixture.workers.starts > 0; }, milliseconds(3000));
+    CHECK(started);
+    vm.Kill();
+  });
+}
+
+// Guards against starting work on a worker that gave notice while the start was being stored.
+TEST_CASE("a start is not sent to a worker that has given notice", "[pool]") {
+  owner_fixture fixture(2);
+  owner_vm vm("a", TestOwnership(), TestPool(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    const bool owned = co_await WaitUntil([&] { return vm.is_owner(); });
+    CHECK(owned);
+    co_await transport::Sleep(milliseconds(50));
+    Submit(fixture.store, kFirstJob);
+    fixture.store.refused_table = kProgressTable;
+    co_await transport::Sleep(milliseconds(100));
+    fixture.store.ApplyNow(
+        {{}, {{kRegistryTable, "worker-0", R"({"address":"127.0.0.1:1","born":1,"draining":true})"}}});
+    co_await transport::Sleep(milliseconds(200));
+    fixture.store.refused_table.clear();
+    const bool started =
+        co_await WaitUntil([&] { return fixture.workers.CountRuns(TaskName(kFirstJob, 0, 0, 0)) == 1; });
+    CHECK(started);
+    CHECK(fixture.workers.CountRunsOn("worker-0") == 0);
+    CHECK(fixture.workers.CountRunsOn("worker-1") == 1);
+    vm.Kill();
+  });
+}
+
 // Guards against a pool in which all jobs wait for one partition of the store.
 TEST_CASE("a partition that refuses writes delays only its own jobs", "[pool]") {
   owner_fixture fixture(2);
