Move the ownership faster and to VMs that can carry it

Patient tasks were spread over all racks, so gangs that need one rack found none. Change: renewal every 300 ms and takeover after 1.1 s, which tolerates the same 800 ms of a slow store as before. VMs store their CPU share; where stronger ones are known, a VM is a standby: it reads the lease every 700 ms instead of following it, takes over last, and hands an ownership over to a stronger VM that reached the store recently. A release clears the authority before it is written and names the successor. Workers in the fullest rack are used first. Exceptions are contained by row, call, request and loop; fields of other types count as missing. The cause of an unreachable worker is logged.

--- a/src/coordination/pool/ownership.cpp
+++ b/src/coordination/pool/ownership.cpp
@@ -1,6 +1,7 @@
 #include "coordination/pool/ownership.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "coordination/pool/pool_tables.h"
 #include "transport/async_event.h"
@@ -26,19 +27,21 @@
     : store_(store), log_(log), settings_(std::move(settings)) {}
 
 bool ownership::HasAuthority() const {
-  return epoch_ > 0 && !stopping_ && BootNow() < confirmed_at_ + settings_.authority;
+  return epoch_ > 0 && !stopping_ && !releasing_ && BootNow() < confirmed_at_ + settings_.authority;
 }
 
 boost::asio::awaitable<void> ownership::Run() {
   while (!stopping_) {
-    if (is_owner()) {
+    if (is_owner() && !successor_.empty()) {
+      co_await HandOver();
+    } else if (is_owner()) {
       co_await RenewOnce();
-      continue;
+    } else {
+      co_await FollowOnce();
+      if (!stopping_ && MayTakeOver()) co_await TryTakeover();
     }
-    co_await FollowOnce();
-    if (!stopping_ && MayTakeOver()) co_await TryTakeover();
   }
-  if (is_owner()) co_await Release();
+  if (is_owner()) co_await Release("");
   ended_ = true;
 }
 
@@ -53,22 +56,33 @@
 void ownership::ApplyRow(const stored_row& row) {
   if (row.partition != kPoolPartition) return;
   const json value = row.removed ? json() : json::parse(row.value, nullptr, false);
+  // A field of another type counts as missing.
+  const auto field = [&value](const char* name) {
+    return value.is_object() ? value.value(name, json()) : json();
+  };
   if (row.key == kEpochKey) {
-    seen_.epoch = value.is_object() ? value.value("epoch", std::int64_t{0}) : 0;
+    const json epoch = field("epoch");
+    seen_.epoch = epoch.is_number_integer() ? epoch.get<std::int64_t>() : 0;
     seen_.epoch_version = row.removed ? 0 : row.version;
   } else if (row.key == kLeaseKey) {
     if (row.version != seen_.lease_version) unchanged_since_ = BootNow();
-    const auto text = [&value](const char* name) { return value.is_object() ? value.value(name, "") : ""; };
+    const auto text = [&field](const char* name) {
+      const json entry = field(name);
+      return entry.is_string() ? entry.get<std::string>() : std::string();
+    };
     seen_.holder = text("holder");
     seen_.vm = text("vm");
     seen_.address = text("address");
+    seen_.successor = text("successor");
     seen_.lease_version = row.removed ? 0 : row.version;
   }
 }
 
 boost::asio::awaitable<void> ownership::FollowOnce() {
   rows_result result;
-  if (!position_) {
+  // Hundreds of VMs that follow each renewal would make most of the calls to the store.
+  if (position_ && is_standby_) co_await transport::Sleep(settings_.standby_delay);
+  if (!position_ || is_standby_) {
     result = co_await store_.ReadRange(kOwnershipTable, kPoolPartition, "", "", kReplyTimeout);
   } else {
     // The wait ends when this VM may be able to take over.
@@ -86,6 +100,7 @@
   if (!position_ && unchanged_since_ == boot_time{}) unchanged_since_ = BootNow();
   for (const stored_row& row : result.rows) ApplyRow(row);
   position_ = result.version;
+  last_contact_ = BootNow();
 }
 
 bool ownership::HasHolderEnded() const {
@@ -98,11 +113,18 @@
   return HasHolderEnded() || BootNow() - unchanged_since_ >= settings_.takeover_timeout;
 }
 
-// Waits for `takeover_delay`, so that VMs with a shorter delay can take over first. Returns false when the
+milliseconds ownership::TakeoverDelay() const {
+  if (seen_.successor == settings_.instance) return milliseconds(0);
+  const bool is_other_named = !seen_.successor.empty();
+  const milliseconds extra = is_standby_ || is_other_named ? settings_.standby_delay : milliseconds(0);
+  return settings_.takeover_delay + extra;
+}
+
+// Waits for the takeover delay, so that VMs with a shorter delay can take over first. Returns false when the
 // lease row has changed meanwhile or cannot be read.
 boost::asio::awaitable<bool> ownership::WaitForPreferredVms() {
   const std::int64_t version = seen_.lease_version;
-  co_await transport::Sleep(settings_.takeover_delay);
+  co_await transport::Sleep(TakeoverDelay());
   const rows_result rows = co_await store_.ReadRange(kOwnershipTable, kPoolPartition, "", "", kReplyTimeout);
   if (!rows.status.ok()) {
     position_.reset();
@@ -115,7 +137,7 @@
 
 boost::asio::awaitable<void> ownership::TryTakeover() {
   const bool is_own_vm = seen_.lease_version != 0 && !seen_.holder.empty() && HasHolderEnded();
-  if (!is_own_vm && settings_.takeover_delay.count() > 0) {
+  if (!is_own_vm && TakeoverDelay().count() > 0) {
     const bool is_unchanged = co_await WaitForPreferredVms();
     if (!is_unchanged || stopping_) co_return;
   }
@@ -169,7 +191,8 @@
     if (was_late) log_.Write("ownership", "renewed late", {{"epoch", std::to_string(epoch_)}});
     lease_version_ = result.version;
     confirmed_at_ = sent_at;
-    while (!stopping_ && is_owner() && BootNow() < next) {
+    last_contact_ = BootNow();
+    while (!stopping_ && is_owner() && successor_.empty() && BootNow() < next) {
       co_await transport::Sleep(std::min(milliseconds(100), next - BootNow()));
     }
     co_return;
@@ -203,18 +226,29 @@
   if (listener_) listener_(false);
 }
 
-boost::asio::awaitable<void> ownership::Release() {
+boost::asio::awaitable<void> ownership::Release(std::string successor) {
   // HasAuthority already returns false, so no order is sent once another VM knows that this owner has ended.
+  releasing_ = true;
   const std::int64_t epoch = epoch_;
   if (listener_) listener_(false);
   store_transaction transaction;
   transaction.conditions = {{kOwnershipTable, kEpochKey, epoch_version_}};
-  transaction.changes = {{kOwnershipTable, kLeaseKey, json{{"holder", ""}, {"epoch", epoch}}.dump()}};
+  transaction.changes = {
+      {kOwnershipTable, kLeaseKey, json{{"holder", ""}, {"epoch", epoch}, {"successor", successor}}.dump()}};
   const transaction_result result = co_await store_.Apply(std::move(transaction), kReplyTimeout);
   log_.Write("ownership", "released",
              {{"epoch", std::to_string(epoch)},
+              {"successor", successor.empty() ? "any" : successor},
               {"stored", result.outcome == transaction_outcome::kDone ? "yes" : "unknown"}});
   epoch_ = 0;
 }
 
+boost::asio::awaitable<void> ownership::HandOver() {
+  co_await Release(std::exchange(successor_, ""));
+  releasing_ = false;
+  position_.reset();
+  seen_ = {};
+  unchanged_since_ = BootNow();
+}
+
 }  // namespace hickorystall::coordination::pool
--- a/src/coordination/pool/ownership.h
+++ b/src/coordination/pool/ownership.h
@@ -21,10 +21,10 @@
   /// Distinguishes this start of the process from earlier ones on the same VM.
   std::string incarnation;
   /// Interval between two renewals of the lease.
-  std::chrono::milliseconds renewal{500};
-  /// Time without a renewal after which another VM takes over: three renewal intervals, which is longer than
-  /// a slow store delays a renewal.
-  std::chrono::milliseconds takeover_timeout{1500};
+  std::chrono::milliseconds renewal{300};
+  /// Time without a renewal after which another VM takes over: a renewal interval and the timeout of one
+  /// call, so that a slow store does not change the owner.
+  std::chrono::milliseconds takeover_timeout{1100};
   /// Time after the last applied renewal during which an owner continues to send orders. Longer than
   /// `takeover_timeout`, so that tasks continue while no VM can reach the store.
   std::chrono::milliseconds authority{3500};
@@ -33,6 +33,9 @@
   std::chrono::milliseconds margin{200};
   /// Delay before this VM tries to take over. VMs with more CPU have shorter delays, so that they go first.
   std::chrono::milliseconds takeover_delay{0};
+  /// Additional delay of a standby VM, and interval at which it reads the lease instead of following it. The
+  /// delay gives the stronger VMs time for two attempts.
+  std::chrono::milliseconds standby_delay{700};
 };
 
 /// The right of one VM at a time to make decisions for the pool, kept as a lease in the store. Every owner
@@ -74,6 +77,13 @@
   /// Gives up the ownership without releasing the lease, for example because another VM has a higher epoch.
   /// `reason` is logged.
   void Lose(const std::string& reason);
+  /// Releases the lease so that the VM with the name `successor` takes over at once. Without it the VM with
+  /// the shortest delay does, which may be this one.
+  void RequestHandover(std::string successor) { successor_ = std::move(successor); }
+  /// Makes this VM a standby, or a regular candidate again: a standby takes over only if no other VM does.
+  void SetStandby(bool is_standby) { is_standby_ = is_standby; }
+  /// Latest time at which this VM read or wrote the ownership in the store.
+  state::pool::boot_time last_contact() const { return last_contact_; }
   /// Sets the function that is called with true after this VM has become the owner, and with false when it no
   /// longer is.
   void SetListener(std::function<void(bool)> listener) { listener_ = std::move(listener); }
@@ -87,11 +97,15 @@
     std::string holder;
     std::string vm;
     std::string address;
+    // VM that the former holder named when it released the lease; empty for none.
+    std::string successor;
   };
   boost::asio::awaitable<void> FollowOnce();
   boost::asio::awaitable<void> TryTakeover();
   boost::asio::awaitable<void> RenewOnce();
-  boost::asio::awaitable<void> Release();
+  boost::asio::awaitable<void> Release(std::string successor);
+  boost::asio::awaitable<void> HandOver();
+  std::chrono::milliseconds TakeoverDelay() const;
   void ApplyRow(const stored_row& row);
   bool MayTakeOver() const;
   // True when nobody holds the lease, or its holder is an earlier incarnation on this VM.
@@ -113,6 +127,12 @@
   std::int64_t lease_version_ = 0;
   state::pool::boot_time confirmed_at_{};
   state::pool::boot_time predecessor_authority_end_{};
+  state::pool::boot_time last_contact_{};
+  bool is_standby_ = false;
+  // VM to which the ownership is to be handed over; empty for none.
+  std::string successor_;
+  // True from the beginning of a planned release.
+  bool releasing_ = false;
   bool stopping_ = false;
   bool ended_ = false;
 };
--- a/src/coordination/pool/peer_directory.h
+++ b/src/coordination/pool/peer_directory.h
@@ -15,8 +15,17 @@
 /// calls. The list is kept while the store is unreachable, since calls are relayed in that case.
 class peer_directory {
  public:
-  /// `address` is where this VM, named `vm`, accepts relayed calls.
-  peer_directory(pool_store& store, event_log& log, std::string vm, std::string address);
+  /// Name, address and CPU limit of a VM.
+  struct vm_info {
+    std::string name;
+    /// "ip:port" for relayed calls.
+    std::string address;
+    /// Share of one core.
+    double cpu_share = 0;
+  };
+
+  /// `self` describes this VM.
+  peer_directory(pool_store& store, event_log& log, vm_info self);
 
   /// Registers this VM and follows the others until Stop.
   boost::asio::awaitable<void> Run();
@@ -27,12 +36,14 @@
   /// Returns the addresses of the other VMs in the order in which to try them: those that failed recently
   /// come last.
   std::vector<std::string> Candidates();
+  /// Returns the other VMs that have clearly more CPU than this one, the strongest first.
+  std::vector<vm_info> StrongerVms() const;
   /// Records whether the VM at `address` decided a call. One that did not is tried last for some time.
   void HandleOutcome(const std::string& address, bool decided);
 
  private:
   struct peer {
-    std::string address;
+    vm_info info;
     // Time until which the peer is tried last.
     state::pool::boot_time avoided_until{};
   };
@@ -42,8 +53,7 @@
 
   pool_store& store_;
   event_log& log_;
-  const std::string vm_;
-  const std::string address_;
+  const vm_info self_;
   std::map<std::string, peer> peers_;
   std::int64_t position_ = 0;
   bool is_loaded_ = false;
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -177,7 +177,9 @@
   const rows_result listed =
       co_await parts_.store->ReadRange(parts_.registry.table, kPoolPartition, "", "", kReplyTimeout);
   if (!listed.status.ok()) co_return false;
-  for (const stored_row& row : listed.rows) ApplyRegistryRow(row);
+  for (const stored_row& row : listed.rows) {
+    ApplyGuarded("unreadable registration", row, [this, &row] { ApplyRegistryRow(row); });
+  }
   registry_feed_.Begin(listed.version, read_at);
   const milliseconds lease = state_.settings().worker_lease;
   const auto tolerance = milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) *
@@ -202,6 +204,15 @@
   co_return true;
 }
 
+void pool_owner::ApplyGuarded(std::string_view event, const stored_row& row,
+                              const std::function<void()>& apply) {
+  try {
+    apply();
+  } catch (const std::exception& failure) {
+    parts_.log->Write("scheduler", event, {{"key", row.key}, {"reason", failure.what()}});
+  }
+}
+
 void pool_owner::ApplyJobRow(const stored_row& row) {
   if (row.removed) return;
   const boot_time now = BootNow();
@@ -243,7 +254,9 @@
     if (stopped_) co_return;
     if (!update.ok) continue;
     // The key of a cancellation sorts after the key of its job.
-    for (const stored_row& row : update.rows) ApplyJobRow(row);
+    for (const stored_row& row : update.rows) {
+      ApplyGuarded("unreadable job", row, [this, &row] { ApplyJobRow(row); });
+    }
     if (!update.rows.empty() || is_outdated_) Wake();
   }
 }
@@ -256,7 +269,7 @@
     std::set<std::string_view> present;
     for (const stored_row& row : update.rows) {
       present.insert(row.key);
-      ApplyRegistryRow(row);
+      ApplyGuarded("unreadable registration", row, [this, &row] { ApplyRegistryRow(row); });
     }
     if (update.is_snapshot) RemoveUnlisted(present);
     if (is_outdated_) Wake();
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -75,6 +75,9 @@
   boost::asio::awaitable<void> SendStarts(std::string job, std::vector<state::pool::worker_order> orders);
   boost::asio::awaitable<void> SendStart(state::pool::worker_order order);
   boost::asio::awaitable<void> SendStop(state::pool::worker_order order);
+  // Calls `apply` and logs an exception as `event`. A row that cannot be applied must not end the ownership:
+  // every later owner would read the same row.
+  void ApplyGuarded(std::string_view event, const stored_row& row, const std::function<void()>& apply);
   void ApplyJobRow(const stored_row& row);
   void ApplyRegistryRow(const stored_row& row);
   // Marks the listed workers that are not in `present` as gone.
@@ -85,6 +88,7 @@
   void StartSessions();
   void DispatchOrders();
   void LogEvents();
+  void LogFailedCall(const std::string& worker, const std::exception& failure);
   void HandleReply(const std::string& worker, const order_reply& reply);
   order_address AddressOf(const state::pool::worker_entry& worker) const;
   void Spawn(boost::asio::awaitable<void> work);
--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -39,6 +39,11 @@
   }
 }
 
+// A call that fails with an exception counts as one without a reply.
+void pool_owner::LogFailedCall(const std::string& worker, const std::exception& failure) {
+  parts_.log->Write("scheduler", "call failed", {{"worker", worker}, {"reason", failure.what()}});
+}
+
 bool pool_owner::NeedsSession(const worker_entry& worker) {
   return !worker.lists_applied || !worker.tasks.empty() || !worker.unaccounted.empty();
 }
@@ -70,7 +75,12 @@
   const std::int64_t call_number = state_.NextCallNumber();
   const order_address address = AddressOf(*worker);
   const std::int64_t acknowledged = worker->acknowledged_end;
-  lists_reply reply = co_await parts_.orders->Renew(address, acknowledged, deadline, wait, kOrderTimeout);
+  lists_reply reply;
+  try {
+    reply = co_await parts_.orders->Renew(address, acknowledged, deadline, wait, kOrderTimeout);
+  } catch (const std::exception& failure) {
+    LogFailedCall(id, failure);
+  }
   if (stopped_) co_return false;
   worker = state_.FindWorker(id);
   if (worker == nullptr) co_return false;
@@ -85,7 +95,7 @@
     co_return false;
   }
   if (reply.outcome != order_outcome::kDone) {
-    state_.MarkUnreachable(id, BootNow());
+    state_.MarkUnreachable(id, reply.reason, BootNow());
     co_return false;
   }
   const bool is_same_incarnation = reply.lists.incarnation == incarnation || incarnation == 0;
@@ -128,8 +138,13 @@
     order_reply reply;
     reply.outcome = order_outcome::kNotSent;
     if (MayOrder()) {
-      reply = co_await parts_.orders->Start(address, order.task, order.run, order.payload, order.checkpoint,
-                                            deadline, kOrderTimeout);
+      try {
+        reply = co_await parts_.orders->Start(address, order.task, order.run, order.payload, order.checkpoint,
+                                              deadline, kOrderTimeout);
+      } catch (const std::exception& failure) {
+        LogFailedCall(order.worker, failure);
+        reply.outcome = order_outcome::kNoReply;
+      }
     }
     if (stopped_) co_return;
     HandleReply(order.worker, reply);
@@ -179,7 +194,12 @@
       continue;
     }
     const order_address address = AddressOf(*worker);
-    const order_reply reply = co_await parts_.orders->Stop(address, order.task, order.run, kOrderTimeout);
+    order_reply reply;
+    try {
+      reply = co_await parts_.orders->Stop(address, order.task, order.run, kOrderTimeout);
+    } catch (const std::exception& failure) {
+      LogFailedCall(order.worker, failure);
+    }
     if (stopped_) co_return;
     HandleReply(order.worker, reply);
     if (stopped_) co_return;
--- a/src/coordination/pool/worker_orders.h
+++ b/src/coordination/pool/worker_orders.h
@@ -52,6 +52,8 @@
 struct lists_reply {
   order_outcome outcome = order_outcome::kNoReply;
   state::pool::worker_lists lists;
+  /// Why there is no reply; empty with kDone.
+  std::string reason;
 };
 
 /// Interface for sending orders to workers.
--- a/src/state/pool/job_request.cpp
+++ b/src/state/pool/job_request.cpp
@@ -15,6 +15,8 @@
   const resources& need = step.need;
   if (need.cpu_millis < 0 || need.memory_mib < 0 || need.accelerators < 0)
     return "a resource need of a step is negative";
+  if (step.max_per_worker < 0) return "the limit of tasks per worker is negative";
+  if (step.estimate < std::chrono::milliseconds(0)) return "the estimate of a step is negative";
   for (const int earlier : step.after) {
     if (earlier < 0 || earlier >= number) return "a step may depend only on earlier steps";
   }
@@ -28,6 +30,7 @@
   if (request.steps.size() > kMaxSteps) return "a job has too many steps";
   if (request.occurrences < 0 || request.occurrences > kMaxOccurrences)
     return "the number of occurrences is out of range";
+  if (request.interval < std::chrono::milliseconds(0)) return "the interval between occurrences is negative";
   for (std::size_t i = 0; i < request.steps.size(); ++i) {
     std::string problem = ExplainInvalidStep(request.steps[i], static_cast<int>(i));
     if (!problem.empty()) return problem;
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -103,8 +103,8 @@
                                 std::int64_t call_number, boot_time now);
   /// Stores a clock reading from any reply of `worker`.
   void UpdateWorkerClock(const std::string& worker, worker_time clock, boot_time now);
-  /// Handles that `worker` did not reply to a call.
-  void MarkUnreachable(const std::string& worker, boot_time now);
+  /// Handles that `worker` did not reply to a call, for the given reason.
+  void MarkUnreachable(const std::string& worker, const std::string& reason, boot_time now);
   /// Handles the result of the start of `run` of `task`.
   void HandleStartReply(const std::string& task, std::int64_t run, start_reply reply, boot_time now);
   /// Handles the confirmation of the stop of `run` of `task` by `worker`.
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -84,14 +84,15 @@
   worker->clock_read_at = now;
 }
 
-void pool_state::MarkUnreachable(const std::string& id, boot_time now) {
+void pool_state::MarkUnreachable(const std::string& id, const std::string& reason, boot_time now) {
   worker_entry* worker = FindWorker(id);
   if (worker == nullptr) return;
   workers_awaiting_first_reply_.erase(id);
   if (!worker->reachable) return;
   worker->reachable = false;
   AddEvent(pool_event_kind::kWorkerUnreachable, "", "", 0, id,
-           "lease_left_ms=" + std::to_string((worker->lease_bound - now).count()));
+           "lease_left_ms=" + std::to_string((worker->lease_bound - now).count()) +
+               " tasks=" + std::to_string(worker->tasks.size()) + " cause=" + reason);
 }
 
 void pool_state::ExpireLeases(boot_time now, boot_time confirmed_at) {
--- a/src/state/pool/unit_placement.cpp
+++ b/src/state/pool/unit_placement.cpp
@@ -20,26 +20,28 @@
 }
 
 // Order in which workers are filled; the lowest comes first.
-auto FillOrder(const worker_slot& slot, const unit_shape& shape, int index) {
+auto FillOrder(const capacity_slots& slots, const rack_index& racks, const unit_shape& shape, int index) {
+  const worker_slot& slot = slots[index];
   return std::tuple(shape.avoided.contains(slot.worker->registration.id), slot.worker->failures_in_row,
-                    slot.free.accelerators, slot.free.cpu_millis, index);
+                    racks.rack_free[index], slot.free.accelerators, slot.free.cpu_millis, index);
 }
 
 // As PlaceInGroup, for a unit with one member, which needs neither a list of the fitting slots nor a sort.
-std::optional<std::vector<int>> PlaceSingle(const capacity_slots& slots, const unit_shape& shape,
-                                            const std::vector<int>& group) {
+std::optional<std::vector<int>> PlaceSingle(const capacity_slots& slots, const rack_index& racks,
+                                            const unit_shape& shape, const std::vector<int>& group) {
   int best = -1;
   for (const int index : group) {
     if (MembersThatFit(slots[index], shape, 1) == 0) continue;
-    if (best < 0 || FillOrder(slots[index], shape, index) < FillOrder(slots[best], shape, best)) best = index;
+    if (best < 0 || FillOrder(slots, racks, shape, index) < FillOrder(slots, racks, shape, best))
+      best = index;
   }
   if (best < 0) return std::nullopt;
   return std::vector<int>{best};
 }
 
-std::optional<std::vector<int>> PlaceInGroup(const capacity_slots& slots, const unit_shape& shape,
-                                             const std::vector<int>& group) {
-  if (shape.members == 1) return PlaceSingle(slots, shape, group);
+std::optional<std::vector<int>> PlaceInGroup(const capacity_slots& slots, const rack_index& racks,
+                                             const unit_shape& shape, const std::vector<int>& group) {
+  if (shape.members == 1) return PlaceSingle(slots, racks, shape, group);
   std::vector<int> order;
   int member_capacity = 0;
   for (const int index : group) {
@@ -50,7 +52,7 @@
   }
   if (member_capacity < shape.members) return std::nullopt;
   std::sort(order.begin(), order.end(), [&](int left, int right) {
-    return FillOrder(slots[left], shape, left) < FillOrder(slots[right], shape, right);
+    return FillOrder(slots, racks, shape, left) < FillOrder(slots, racks, shape, right);
   });
   std::vector<int> places;
   for (const int index : order) {
@@ -92,6 +94,11 @@
     index.racks[slots[i].worker->registration.rack].push_back(static_cast<int>(i));
     index.all.push_back(static_cast<int>(i));
   }
+  index.rack_free.resize(slots.size());
+  for (const auto& [rack, group] : index.racks) {
+    const std::int64_t free = FreeAccelerators(slots, group);
+    for (const int slot : group) index.rack_free[slot] = free;
+  }
   return index;
 }
 
@@ -117,7 +124,7 @@
   for (const std::vector<int>* group : PlacementGroups(index, shape, reach)) {
     const std::int64_t free = FreeAccelerators(slots, *group);
     if (free >= best_free) continue;
-    std::optional<std::vector<int>> places = PlaceInGroup(slots, shape, *group);
+    std::optional<std::vector<int>> places = PlaceInGroup(slots, index, shape, *group);
     if (!places) continue;
     best = std::move(places);
     best_free = free;
--- a/src/state/pool/unit_placement.h
+++ b/src/state/pool/unit_placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -28,6 +29,8 @@
 struct rack_index {
   std::map<std::string_view, std::vector<int>> racks;
   std::vector<int> all;
+  /// Free accelerators in the rack of each slot at the beginning of the pass.
+  std::vector<std::int64_t> rack_free;
 };
 
 /// Returns the index of `slots`. It refers to the rack names of the workers.
@@ -63,8 +66,8 @@
 
 /// Chooses a slot for each member of `shape`. Returns nullopt if they do not all fit. Of the placement groups
 /// that can hold the unit, the one with the fewest free accelerators is used. Within it, workers on which the
-/// unit failed come last, then those with more consecutive failures; the remaining order is the fullest
-/// worker first, so that whole workers and racks stay free for large gangs.
+/// unit failed come last, then those with more consecutive failures; the remaining order is the fullest rack
+/// and in it the fullest worker first, so that whole racks and workers stay free for large gangs.
 std::optional<std::vector<int>> PlaceUnit(const capacity_slots& slots, const rack_index& index,
                                           const unit_shape& shape, placement_reach reach);
 
--- a/src/transport/http_connection.cpp
+++ b/src/transport/http_connection.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <cstdio>
+#include <exception>
 #include <utility>
 
 namespace hickorystall::transport {
@@ -17,6 +19,8 @@
 
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kReadBytes = 4096;
+// Status of the response to a request whose handler failed with an exception.
+constexpr int kInternalError = 500;
 
 http_request ExtractRequest(http::request<http::string_body>&& message) {
   http_request request;
@@ -90,7 +94,14 @@
   }
   ClearTimeout();
   const bool wants_keep_alive = parser.get().keep_alive();
-  http_response response = co_await context_->handle(ExtractRequest(parser.release()));
+  http_response response;
+  try {
+    response = co_await context_->handle(ExtractRequest(parser.release()));
+  } catch (const std::exception& failure) {
+    // The request may have had an effect before the failure, so the response must not deny that.
+    std::fprintf(stderr, "http server: the handler failed: %s\n", failure.what());
+    response = JsonResponse(kInternalError, R"({"error":"internal"})");
+  }
   if (response.status == 0) co_return false;
   const bool keep_alive = wants_keep_alive && !ClosesAfterResponse();
   lingers_ = wants_keep_alive && !keep_alive;
--- a/tests/coordination/pool/call_relay_test.cpp
+++ b/tests/coordination/pool/call_relay_test.cpp
@@ -48,7 +48,7 @@
   transport::http_client client(event_loops, {});
   // The length of this VM's name, modulo the number of peers, selects the peer that is tried first: here the
   // first one in each case.
-  peer_directory peers(store, log, statuses.size() == 3 ? "own" : "xx", "127.0.0.1:1");
+  peer_directory peers(store, log, {statuses.size() == 3 ? "own" : "xx", "127.0.0.1:1", 1.0});
   call_relay relay(client, peers);
   std::promise<relay_outcome> outcome;
   asio::co_spawn(
--- a/tests/coordination/pool/owner_vm.cpp
+++ b/tests/coordination/pool/owner_vm.cpp
@@ -18,6 +18,7 @@
 // A registration is {"address": "ip:port", "born": number, "draining": bool}; all fields but the address are
 // optional.
 absl::StatusOr<worker_registration> DecodeTestRegistration(const stored_row& row) {
+  if (row.value == kUndecodable) throw std::runtime_error("undecodable");
   const auto value = nlohmann::json::parse(row.value, nullptr, false);
   if (!value.is_object()) return absl::DataLossError("no object");
   worker_registration registration;
--- a/tests/coordination/pool/owner_vm.h
+++ b/tests/coordination/pool/owner_vm.h
@@ -11,6 +11,8 @@
 /// Tables of the test registrations and the test configuration.
 inline constexpr char kRegistryTable[] = "registry";
 inline constexpr char kConfigTable[] = "config";
+/// Value of a registration whose decoder throws.
+inline constexpr char kUndecodable[] = "undecodable";
 
 /// A VM that may own the pool, with a real ownership, config_follower and pool_owner on the event loop of a
 /// test. Its registrations name workers with 8 accelerators of the service "s"; its configuration has the
--- a/tests/coordination/pool/ownership_test.cpp
+++ b/tests/coordination/pool/ownership_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <catch2/catch.hpp>
 
 #include "coordination/pool/job_api.h"
@@ -130,6 +131,71 @@
   });
 }
 
+// Guards against a pool that stays on a VM that is too small for it, and against two owners at a time while
+// it moves: the former owner has no authority once the other may take over.
+TEST_CASE("an owner hands over to the VM that it names", "[pool]") {
+  memory_store store;
+  ownership_settings slow = Settings("b", "b1");
+  slow.takeover_delay = milliseconds(60);
+  ownership first(store, Log(), Settings("a", "a1"));
+  ownership named(store, Log(), slow);
+  ownership other(store, Log(), Settings("c", "c1"));
+  bool both_had_authority = false;
+  bool had_authority_at_release = true;
+  first.SetListener([&](bool is_owner) {
+    if (!is_owner) had_authority_at_release = first.HasAuthority();
+  });
+  std::vector<ownership*> all{&first, &named, &other};
+  RunWith({&first}, [&]() -> asio::awaitable<void> {
+    co_await transport::Sleep(milliseconds(60));
+    REQUIRE(first.is_owner());
+    const auto executor = co_await asio::this_coro::executor;
+    asio::co_spawn(executor, named.Run(), asio::detached);
+    asio::co_spawn(executor, other.Run(), asio::detached);
+    co_await transport::Sleep(milliseconds(60));
+    first.RequestHandover("b");
+    const auto end = BootNow() + milliseconds(200);
+    while (BootNow() < end) {
+      int with_authority = 0;
+      for (const ownership* vm : all) with_authority += vm->HasAuthority() ? 1 : 0;
+      both_had_authority = both_had_authority || with_authority > 1;
+      co_await transport::Sleep(milliseconds(1));
+    }
+    CHECK_FALSE(first.is_owner());
+    CHECK(named.epoch() == 2);
+    CHECK_FALSE(both_had_authority);
+    CHECK_FALSE(had_authority_at_release);
+    // A released lease leaves no authority to wait for.
+    CHECK(named.predecessor_authority_end() <= BootNow());
+    named.Stop();
+    other.Stop();
+  });
+}
+
+// Guards against a VM that is too small taking over while stronger ones are there, and against a pool without
+// an owner when no stronger one takes over.
+TEST_CASE("a standby VM takes over only if no other VM does", "[pool]") {
+  const bool has_stronger = GENERATE(true, false);
+  memory_store store;
+  store.ApplyNow({{},
+                  {{kOwnershipTable, kEpochKey, R"({"epoch":4})"},
+                   {kOwnershipTable, kLeaseKey, R"({"holder":"x","vm":"x","address":"x:1","epoch":4})"}}});
+  ownership_settings settings = Settings("weak", "weak1");
+  settings.standby_delay = milliseconds(300);
+  ownership standby(store, Log(), settings);
+  standby.SetStandby(true);
+  ownership_settings slow = Settings("strong", "strong1");
+  slow.takeover_delay = milliseconds(350);
+  ownership stronger(store, Log(), slow);
+  std::vector<ownership*> running{&standby};
+  if (has_stronger) running.push_back(&stronger);
+  RunWith(running, [&]() -> asio::awaitable<void> {
+    co_await transport::Sleep(milliseconds(1000));
+    CHECK(standby.is_owner() == !has_stronger);
+    CHECK(stronger.is_owner() == has_stronger);
+  });
+}
+
 // Guards against an owner that gives up the pool because the reply to a renewal was lost.
 TEST_CASE("an owner keeps the ownership when the reply to a renewal is lost", "[pool]") {
   memory_store store;
--- a/tests/coordination/pool/pool_owner_test.cpp
+++ b/tests/coordination/pool/pool_owner_test.cpp
@@ -175,6 +175,25 @@
   });
 }
 
+// Guards against a pool that is lost because of one malformed message: each owner would give the ownership up
+// on the same row or reply.
+TEST_CASE("an exception in one row or reply leaves the others in force", "[pool]") {
+  owner_fixture fixture(2);
+  fixture.store.ApplyNow({{}, {{kRegistryTable, "worker-bad", kUndecodable}}});
+  fixture.workers.failing.insert("worker-0");
+  owner_vm vm("a", TestOwnership(), TestPool(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    const bool owned = co_await WaitUntil([&] { return vm.is_owner(); });
+    CHECK(owned);
+    fixture.store.ApplyNow({{}, {{kRegistryTable, "worker-worse", kUndecodable}}});
+    Submit(fixture.store, kFirstJob);
+    const bool started = co_await WaitUntil([&] { return fixture.workers.CountRunsOn("worker-1") == 1; });
+    CHECK(started);
+    CHECK(vm.is_owner());
+    vm.Kill();
+  });
+}
+
 // Guards against a pool in which all jobs wait for one partition of the store.
 TEST_CASE("a partition that refuses writes delays only its own jobs", "[pool]") {
   owner_fixture fixture(2);
--- a/tests/coordination/pool/standin_workers.cpp
+++ b/tests/coordination/pool/standin_workers.cpp
@@ -1,5 +1,7 @@
 #include "coordination/pool/standin_workers.h"
 
+#include <stdexcept>
+
 #include "transport/async_event.h"
 #include "transport/boot_clock.h"
 
@@ -34,6 +36,7 @@
                                                     std::string payload, std::string checkpoint,
                                                     worker_time deadline, milliseconds timeout) {
   (void)payload, (void)checkpoint, (void)deadline;
+  if (failing.contains(address.worker)) throw std::runtime_error("malformed reply");
   if (unreachable.contains(address.worker)) {
     co_await transport::Sleep(timeout);
     co_return order_reply{};
@@ -48,6 +51,7 @@
 
 asio::awaitable<order_reply> standin_workers::Stop(order_address address, std::string task, std::int64_t run,
                                                    milliseconds timeout) {
+  if (failing.contains(address.worker)) throw std::runtime_error("malformed reply");
   if (unreachable.contains(address.worker)) {
     co_await transport::Sleep(timeout);
     co_return order_reply{};
@@ -65,6 +69,7 @@
                                                     milliseconds timeout) {
   (void)deadline;
   lists_reply reply;
+  if (failing.contains(address.worker)) throw std::runtime_error("malformed reply");
   if (unreachable.contains(address.worker)) {
     co_await transport::Sleep(wait + timeout);
     co_return reply;
--- a/tests/state/pool/pool_state_test.cpp
+++ b/tests/state/pool/pool_state_test.cpp
@@ -65,7 +65,7 @@
   CHECK(pool.state.UnresolvedWorkers() == std::set<std::string>{"silent"});
   pool.state.AddRecordedWorker("silent", "10.0.0.9:1", pool.now + seconds(6));
   CHECK(pool.Plan().empty());
-  pool.state.MarkUnreachable("silent", pool.now);
+  pool.state.MarkUnreachable("silent", "no reply", pool.now);
   pool.AdvanceTime(seconds(7));
   // The lease has expired, but the ownership was last confirmed before that.
   pool.state.ExpireLeases(pool.now, pool.now - seconds(2));
@@ -106,7 +106,7 @@
   pool.state.AddRecordedWorker(pool_fixture::Worker(0), "", pool.now + seconds(6));
   pool.ApplyLists(pool_fixture::Worker(0), {}, {{1, Task(0), 1, end_kind::kGangMemberLost, ""}});
   CHECK(pool.Plan().empty());
-  pool.state.MarkUnreachable("silent", pool.now);
+  pool.state.MarkUnreachable("silent", "no reply", pool.now);
   pool.AdvanceTime(seconds(7));
   pool.state.ExpireLeases(pool.now, pool.now);
   CHECK(pool.Plan().size() == 2);
@@ -149,7 +149,7 @@
   CHECK_FALSE(pool.state.HaveAllWorkersReplied());
   pool.ApplyLists(pool_fixture::Worker(0), {});
   CHECK_FALSE(pool.state.HaveAllWorkersReplied());
-  pool.state.MarkUnreachable(pool_fixture::Worker(1), pool.now);
+  pool.state.MarkUnreachable(pool_fixture::Worker(1), "no reply", pool.now);
   CHECK(pool.state.HaveAllWorkersReplied());
 }
 
@@ -214,7 +214,7 @@
   REQUIRE(orders.size() == 1);
   pool.state.GrantLease(orders[0].worker, pool.now);
   pool.Accept(orders);
-  pool.state.MarkUnreachable(orders[0].worker, pool.now);
+  pool.state.MarkUnreachable(orders[0].worker, "no reply", pool.now);
   pool.AdvanceTime(milliseconds(6200));
   pool.state.ExpireLeases(pool.now, pool.now);
   CHECK(pool.Plan().empty());
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -1,6 +1,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
+#include <stdexcept>
 
 #include "protocol/error_response.h"
 #include "transport/async_event.h"
@@ -22,6 +23,7 @@
         pool, settings,
         [](http_request request) -> asio::awaitable<http_response> {
           if (request.path() == "/slow") co_await Sleep(milliseconds(300));
+          if (request.path() == "/throw") throw std::runtime_error("handler failed");
           co_return JsonResponse(200, request.body);
         },
         protocol::MakeReadFailureResponse);
@@ -63,6 +65,19 @@
   CHECK(exchange.response.status == 413);
 }
 
+// Guards against a handler's exception that leaves the client without a response and counts the connection
+// as open for ever, until the server accepts no more.
+TEST_CASE_METHOD(echo_fixture, "a handler that fails is answered with status 500", "[http]") {
+  const http_exchange failed = Send({"POST", "/throw", {}, "x"});
+  REQUIRE(failed.status.ok());
+  CHECK(failed.response.status == 500);
+  CHECK(server->requests_in_flight() == 0);
+  const http_exchange next = Send({"POST", "/", {}, "y"});
+  REQUIRE(next.status.ok());
+  CHECK(next.response.body == "y");
+  CHECK(server->open_connections() <= 2);
+}
+
 // Guards against the reuse of a connection on which each response belongs to the previous request.
 TEST_CASE_METHOD(echo_fixture, "a response that belongs to another request closes its connection", "[http]") {
   const auto reject = [](const http_response& response) { return response.body != "wrong"; };
