Release the runs of ended processes at once, call silent workers again

A worker that was silent for longer than its lease was never called again, and so stayed unused while it was registered. A worker on which tasks stalled got the next ones at once. Change: the orderly end of a waiting call followed by a refused connection shows that a process has ended, unless the worker drains; its runs are released except those that a start without a reply may repeat on the next incarnation. A registered worker without a reply is called until it replies. Workers with a stalled task are avoided like failing ones. Each preemption of a unit adds to its price, and the log line gives lost and own work.

--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -348,10 +348,7 @@
   state_.MakeDueOccurrences(now, wall_now);
   // A start that cannot be recorded is not sent, so no task is stopped to make room for it either.
   if (MayOrder() && IsKnowledgeFresh(now) && writer_.is_storing() && state_.HaveAllWorkersReplied()) {
-    const pool_plan plan = PlanPool(state_, now, wall_now);
-    for (const planned_stop& stop : plan.stops) state_.StopUnit(stop.position, stop.reason);
-    for (const planned_start& start : plan.starts)
-      state_.StartUnit(start.position, start.workers, now, start.is_remote);
+    ApplyPlan(PlanPool(state_, now, wall_now), state_, now);
   }
   StartSessions();
   DispatchOrders();
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -88,6 +88,7 @@
   void StartSessions();
   void DispatchOrders();
   void LogEvents();
+  void HandleNoReply(const std::string& worker, const lists_reply& reply);
   void LogFailedCall(const std::string& worker, const std::exception& failure);
   void HandleReply(const std::string& worker, const order_reply& reply);
   order_address AddressOf(const state::pool::worker_entry& worker) const;
--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -45,7 +45,22 @@
 }
 
 bool pool_owner::NeedsSession(const worker_entry& worker) {
-  return !worker.lists_applied || !worker.tasks.empty() || !worker.unaccounted.empty();
+  const bool has_runs = !worker.tasks.empty() || !worker.unaccounted.empty();
+  // A registered worker that does not reply is called until it does: it may only have been cut off.
+  return !worker.lists_applied || has_runs || (worker.listed && !worker.reachable);
+}
+
+// A worker without a reply keeps its runs until its lease has expired, unless its process is known to have
+// ended. A refused connection alone does not show that, since a firewall also refuses; together with the
+// orderly end of a waiting call it does. A draining worker may stop listening before its runs have ended.
+void pool_owner::HandleNoReply(const std::string& id, const lists_reply& reply) {
+  state_.MarkUnreachable(id, reply.reason, BootNow());
+  worker_entry* worker = state_.FindWorker(id);
+  if (worker == nullptr) return;
+  if (reply.sign == process_sign::kClosed) worker->closed_a_call = true;
+  if (reply.sign != process_sign::kRefused || !worker->closed_a_call || worker->registration.draining) return;
+  state_.HandleProcessEnd(id);
+  Wake();
 }
 
 // Calls one worker repeatedly while it has work: reads its lists, acknowledges ends and renews its lease.
@@ -58,7 +73,9 @@
       continue;
     }
     const bool replied = co_await RenewWorker(id);
-    if (!replied) co_await transport::Sleep(kUnreachablePause);
+    worker = state_.FindWorker(id);
+    const bool was_closed = worker != nullptr && worker->closed_a_call;
+    if (!replied) co_await transport::Sleep(was_closed ? kOrderRetryPause : kUnreachablePause);
   }
   sessions_.erase(id);
 }
@@ -95,7 +112,7 @@
     co_return false;
   }
   if (reply.outcome != order_outcome::kDone) {
-    state_.MarkUnreachable(id, reply.reason, BootNow());
+    HandleNoReply(id, reply);
     co_return false;
   }
   const bool is_same_incarnation = reply.lists.incarnation == incarnation || incarnation == 0;
@@ -154,7 +171,10 @@
       Wake();
       co_return;
     }
-    outcome_unknown = outcome_unknown || reply.outcome == order_outcome::kNoReply;
+    if (reply.outcome == order_outcome::kNoReply) {
+      outcome_unknown = true;
+      state_.MarkStartUnanswered(order.task, order.run);
+    }
     const bool is_open = reply.outcome == order_outcome::kNoReply || reply.outcome == order_outcome::kNotSent;
     if (!is_open) {
       const bool refused = reply.outcome != order_outcome::kDone;
--- a/src/coordination/pool/worker_orders.h
+++ b/src/coordination/pool/worker_orders.h
@@ -31,6 +31,16 @@
 /// Name of an outcome in logs.
 std::string_view OrderOutcomeName(order_outcome outcome);
 
+/// What a call without a reply shows about the worker's process.
+enum class process_sign {
+  /// Nothing: the worker may run on, unreachable.
+  kNone,
+  /// The connection of the waiting call was closed in an orderly way, as the kernel does when a process ends.
+  kClosed,
+  /// No process listens at the worker's address.
+  kRefused,
+};
+
 /// Recipient and sender of an order.
 struct order_address {
   /// "ip:port" of the worker.
@@ -54,6 +64,8 @@
   state::pool::worker_lists lists;
   /// Why there is no reply; empty with kDone.
   std::string reason;
+  /// What the worker's VM shows about its process when there is no reply.
+  process_sign sign = process_sign::kNone;
 };
 
 /// Interface for sending orders to workers.
--- a/src/state/pool/job_entry.h
+++ b/src/state/pool/job_entry.h
@@ -48,6 +48,9 @@
   const worker_entry* host = nullptr;
   /// True once the worker has confirmed the start or listed the run.
   bool confirmed = false;
+  /// True if an attempt to start the run had no reply, or an earlier owner started it. The worker's next
+  /// incarnation may then still execute that start.
+  bool may_start_late = false;
   /// True once the worker has replied to the stop.
   bool stop_confirmed = false;
   /// Call number taken at the latest reply about this run. Lists requested by an earlier call may predate the
@@ -81,6 +84,8 @@
   boot_time repeatable_until{};
   /// Latest checkpoint; empty for none.
   std::string checkpoint;
+  /// Number of times that this owner stopped the unit in favor of a more urgent one.
+  int preemptions = 0;
   /// Workers on which the unit has failed; placement avoids them if it can.
   std::set<std::string> failed_on;
   /// When the step of the unit became ready.
--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -1,6 +1,7 @@
 #include "state/pool/pool_plan.h"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -104,16 +105,18 @@
   // Stops units that cannot end before their worker leaves, and units that are stalled.
   void StopLeavingAndStalledUnits() {
     for (const running_unit& entry : running_) {
-      std::string reason;
+      planned_stop stop;
       for (const unit_member& member : entry.unit->members) {
         if (member.phase == run_phase::kIdle) continue;
         const worker_entry& worker = *member.host;
-        if (MustLeave(entry, member, worker)) reason = "worker leaves before the run ends";
-        if (IsStalled(member, worker))
-          reason = "no progress beyond percent=" + std::to_string(member.percent);
+        if (MustLeave(entry, member, worker)) stop.reason = "worker leaves before the run ends";
+        if (!IsStalled(member, worker)) continue;
+        stop.reason = "no progress beyond percent=" + std::to_string(member.percent);
+        stop.stalled_on.push_back(member.worker);
       }
-      if (reason.empty()) continue;
-      plan_.stops.push_back({entry.Position(), reason});
+      if (stop.reason.empty()) continue;
+      stop.position = entry.Position();
+      plan_.stops.push_back(std::move(stop));
       stopped_.insert(entry.unit);
     }
   }
@@ -265,6 +268,12 @@
     return *candidates_;
   }
 
+  // Returns the work of a unit of `entry`, in core-seconds.
+  double ExpectedWork(const waiting_step& entry, const unit_shape& shape) const {
+    const std::chrono::duration<double> time = state_.ExpectedTime(*entry.job, *entry.request);
+    return WeightedCores(entry.request->need) * time.count() * shape.members;
+  }
+
   bool Preempt(const waiting_step& entry, const unit_shape& shape, placement_reach reach) {
     const preemption_candidates& candidates = Candidates();
     const auto is_allowed = [&](int victim) { return IsVictim(running_[victim], entry); };
@@ -275,9 +284,16 @@
                                 placement_reach::kAnywhere);
     }
     if (!choice) return false;
+    const double own_work = ExpectedWork(entry, shape);
     for (const int index : choice->victims) {
       const preemption_victim& victim = candidates.victims[index];
-      plan_.stops.push_back({running_[index].Position(), "preempted by " + entry.job->submission.id});
+      planned_stop stop;
+      stop.position = running_[index].Position();
+      stop.reason = "preempted by " + entry.job->submission.id +
+                    " lost_core_s=" + std::to_string(std::lround(victim.lost_work)) +
+                    " own_core_s=" + std::to_string(std::lround(own_work));
+      stop.is_preemption = true;
+      plan_.stops.push_back(std::move(stop));
       stopped_.insert(running_[index].unit);
       for (const int slot : victim.slots) free_after_stops_[slot].free += victim.step->need;
     }
@@ -315,4 +331,14 @@
   return planning_pass(state, now, wall_now).Run();
 }
 
+void ApplyPlan(const pool_plan& plan, pool_state& state, boot_time now) {
+  for (const planned_stop& stop : plan.stops) {
+    state.StopUnit(stop.position, stop.reason);
+    if (stop.is_preemption) state.CountPreemption(stop.position);
+    for (const std::string& worker : stop.stalled_on) state.AvoidWorker(worker, "stalled", now);
+  }
+  for (const planned_start& start : plan.starts)
+    state.StartUnit(start.position, start.workers, now, start.is_remote);
+}
+
 }  // namespace hickorystall::state::pool
--- a/src/state/pool/pool_plan.h
+++ b/src/state/pool/pool_plan.h
@@ -22,6 +22,10 @@
   unit_position position;
   /// Reason for the log.
   std::string reason;
+  /// True if the unit makes room for a more urgent one.
+  bool is_preemption = false;
+  /// Workers on which a task of the unit makes no progress.
+  std::vector<std::string> stalled_on;
 };
 
 /// Result of one planning pass.
@@ -37,4 +41,7 @@
 /// job is `deadline_outlook::kMissed`, and start in a later pass, once the preempted runs have ended.
 pool_plan PlanPool(const pool_state& state, boot_time now, unix_time wall_now);
 
+/// Applies `plan` to the state for which it was made.
+void ApplyPlan(const pool_plan& plan, pool_state& state, boot_time now);
+
 }  // namespace hickorystall::state::pool
--- a/src/state/pool/pool_state.cpp
+++ b/src/state/pool/pool_state.cpp
@@ -287,6 +287,11 @@
   if (any) AddEvent(pool_event_kind::kStopOrdered, position.job, "", unit->last_run, "", reason);
 }
 
+void pool_state::CountPreemption(const unit_position& position) {
+  work_unit* unit = FindUnit(position);
+  if (unit != nullptr) ++unit->preemptions;
+}
+
 void pool_state::OrderStop(const task_location& location) {
   location.member->phase = run_phase::kStopping;
   location.member->stop_confirmed = false;
@@ -316,6 +321,11 @@
   location.unit->started_at = now;
 }
 
+void pool_state::MarkStartUnanswered(const std::string& task, std::int64_t run) {
+  const std::optional<task_location> location = FindTask(task);
+  if (location && location->unit->last_run == run) location->member->may_start_late = true;
+}
+
 void pool_state::HandleStartReply(const std::string& task, std::int64_t run, start_reply reply,
                                   boot_time now) {
   const std::optional<task_location> location = FindTask(task);
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -105,6 +105,11 @@
   void UpdateWorkerClock(const std::string& worker, worker_time clock, boot_time now);
   /// Handles that `worker` did not reply to a call, for the given reason.
   void MarkUnreachable(const std::string& worker, const std::string& reason, boot_time now);
+  /// Handles that the process of an unreachable worker has ended, with everything that it ran. Only runs that
+  /// no late start can repeat are released; the others wait for the lease.
+  void HandleProcessEnd(const std::string& worker);
+  /// Records that one attempt to start `run` of `task` had no reply.
+  void MarkStartUnanswered(const std::string& task, std::int64_t run);
   /// Handles the result of the start of `run` of `task`.
   void HandleStartReply(const std::string& task, std::int64_t run, start_reply reply, boot_time now);
   /// Handles the confirmation of the stop of `run` of `task` by `worker`.
@@ -121,6 +126,11 @@
   /// Stops all runs of the unit at `position`. Its checkpoint is kept.
   void StopUnit(const unit_position& position, const std::string& reason);
 
+  /// Counts that the unit at `position` was stopped in favor of a more urgent one.
+  void CountPreemption(const unit_position& position);
+  /// Starts nothing on `worker` for some time, which doubles with each consecutive failure there.
+  void AvoidWorker(const std::string& worker, const std::string& reason, boot_time now);
+
   /// Returns the orders to send that were collected since the last call.
   std::vector<worker_order> TakeOrders();
   /// Returns the events collected since the last call.
@@ -184,6 +194,7 @@
   void ApplyEnd(worker_entry& worker, const listed_end& end, boot_time now);
   // Applies an active run that is listed. It may have been started by an earlier owner.
   void ApplyRunning(worker_entry& worker, const listed_run& run, boot_time now);
+  void SetAvoided(worker_entry& worker, const std::string& reason, boot_time now);
   void ApplyFailure(const task_location& location, worker_entry& worker, std::int64_t run, boot_time now);
   void ApplyDone(const task_location& location, boot_time now);
   // Releases the runs on `worker` that are missing from the lists requested by the call `call_number`, if
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -123,6 +123,21 @@
   ResolveWorker(*worker);
 }
 
+void pool_state::HandleProcessEnd(const std::string& id) {
+  worker_entry* worker = FindWorker(id);
+  if (worker == nullptr || worker->reachable) return;
+  const std::set<std::string> tasks = worker->tasks;
+  for (const std::string& task : tasks) {
+    const std::optional<task_location> location = FindTask(task);
+    assert(location);
+    if (!location->member->confirmed || location->member->may_start_late) continue;
+    AddEvent(pool_event_kind::kRunLost, location->position.job, task, location->unit->last_run, id,
+             "process ended");
+    Release(*location);
+    if (!location->unit->done) StopOtherMembers(*location);
+  }
+}
+
 void pool_state::HoldRecordedStarts(boot_time authority_end) {
   for (const auto& [worker, units] : unresolved_units_) {
     for (const unit_position& position : units) {
@@ -191,6 +206,7 @@
   const bool is_whole = lists.finished.size() < kMaxEndsPerReply;
   worker->lists_applied = worker->lists_applied || is_whole;
   worker->reachable = true;
+  worker->closed_a_call = false;
   workers_awaiting_first_reply_.erase(id);
   UpdateWorkerClock(id, lists.clock, now);
   std::int64_t highest = worker->acknowledged_end;
@@ -229,6 +245,7 @@
         now - ExpectedTime(*location->job, *location->step) * std::clamp(run.percent, 0, 100) / 100;
     Allocate(*location, worker, run_phase::kRunning);
     member.confirmed = true;
+    member.may_start_late = true;
     member.last_reply_call = NextCallNumber();
     member.progress_at = now;
     if (location->job->phase == job_phase::kQueued) {
@@ -326,6 +343,24 @@
   }
 }
 
+void pool_state::SetAvoided(worker_entry& worker, const std::string& reason, boot_time now) {
+  const int doublings = std::clamp(worker.failures_in_row - settings_.failures_before_avoiding, 0, 4);
+  const milliseconds wait = std::min(settings_.avoid_time * (1 << doublings), settings_.max_avoid_time);
+  worker.avoided_until = now + wait;
+  AddEvent(pool_event_kind::kWorkerAvoided, "", "", 0, worker.registration.id,
+           reason + " failures_in_row=" + std::to_string(worker.failures_in_row) +
+               " wait_ms=" + std::to_string(wait.count()));
+}
+
+void pool_state::AvoidWorker(const std::string& id, const std::string& reason, boot_time now) {
+  worker_entry* worker = FindWorker(id);
+  // All tasks on a stalled worker are stopped in one pass, which counts once.
+  if (worker == nullptr || now < worker->avoided_until) return;
+  // Unlike a failure, a stall is not the fault of the task.
+  worker->failures_in_row = std::max(worker->failures_in_row + 1, settings_.failures_before_avoiding);
+  SetAvoided(*worker, reason, now);
+}
+
 void pool_state::ApplyFailure(const task_location& location, worker_entry& worker, std::int64_t run,
                               boot_time now) {
   work_unit& unit = *location.unit;
@@ -336,13 +371,7 @@
       TaskName(location.position.job, location.position.occurrence, location.position.step, unit.first_task),
       run, worker.registration.id, "failures=" + std::to_string(unit.failures()));
   ++worker.failures_in_row;
-  if (worker.failures_in_row >= settings_.failures_before_avoiding) {
-    const int doublings = std::min(worker.failures_in_row - settings_.failures_before_avoiding, 4);
-    const milliseconds wait = std::min(settings_.avoid_time * (1 << doublings), settings_.max_avoid_time);
-    worker.avoided_until = now + wait;
-    AddEvent(pool_event_kind::kWorkerAvoided, "", "", 0, worker.registration.id,
-             "failures_in_row=" + std::to_string(worker.failures_in_row));
-  }
+  if (worker.failures_in_row >= settings_.failures_before_avoiding) SetAvoided(worker, "failures", now);
   MarkChanged(*location.job, true);
   if (unit.failures() >= MaxAttempts(*location.job)) FinishJob(*location.job, job_phase::kFailed, now);
 }
--- a/src/state/pool/preemption.cpp
+++ b/src/state/pool/preemption.cpp
@@ -105,13 +105,17 @@
 
 }  // namespace
 
+double WeightedCores(const resources& need) {
+  return static_cast<double>(need.cpu_millis) / 1000.0 +
+         kCoresPerAccelerator * static_cast<double>(need.accelerators);
+}
+
 double LostWork(const step_request& step, const work_unit& unit, boot_time now) {
   // A unit that can resume saves its progress when it is stopped; it loses the time that resuming takes.
   const std::chrono::duration<double> lost = now - unit.started_at;
   const double seconds = step.checkpointable ? std::min(lost, kResumeTime).count() : lost.count();
-  const double cores = static_cast<double>(step.need.cpu_millis) / 1000.0 +
-                       kCoresPerAccelerator * static_cast<double>(step.need.accelerators);
-  return std::max(0.0, seconds) * cores * static_cast<double>(unit.members.size());
+  return std::max(0.0, seconds) * WeightedCores(step.need) * static_cast<double>(unit.members.size()) *
+         (1.0 + unit.preemptions);
 }
 
 void preemption_candidates::IndexBySlot() {
--- a/src/state/pool/preemption.h
+++ b/src/state/pool/preemption.h
@@ -40,8 +40,12 @@
   double lost_work = 0;
 };
 
+/// Returns the number of cores in `need`, where an accelerator counts as eight.
+double WeightedCores(const resources& need);
+
 /// Returns the work that is lost if `unit` is stopped at `now`, in core-seconds: what it has done since its
-/// start, or the time to resume if it saves its progress. An accelerator counts as eight cores.
+/// start, or the time to resume if it saves its progress. An accelerator counts as eight cores. Each earlier
+/// preemption of the unit adds the same amount, so that one job is not stopped again and again.
 double LostWork(const step_request& step, const work_unit& unit, boot_time now);
 
 /// Chooses victims that lose little work so that `shape` fits within `reach`. Only the victims with an index
--- a/src/state/pool/worker_entry.h
+++ b/src/state/pool/worker_entry.h
@@ -107,6 +107,8 @@
   bool may_have_unlisted_runs = false;
   /// False if the worker did not reply to the latest call.
   bool reachable = true;
+  /// True if the connection of a call was closed in an orderly way, and no reply came since.
+  bool closed_a_call = false;
   /// Capacity that runs of known units hold or may hold.
   resources used;
   /// Listed runs that are not the current run of any unit: task name and the capacity counted for it.
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -100,8 +100,9 @@
 
   connection_ptr AcquireIdle(const std::string& endpoint);
   void ReleaseIdle(const std::string& endpoint, connection_ptr connection);
+  // Sets `is_refused` when no process listens at the endpoint.
   asio::awaitable<absl::Status> Connect(pooled_connection& connection, const std::string& endpoint,
-                                        clock::time_point deadline);
+                                        clock::time_point deadline, bool& is_refused);
 
   const http_client_settings settings;
   std::vector<idle_map> idle;
@@ -131,7 +132,8 @@
 
 asio::awaitable<absl::Status> http_client::shared_state::Connect(pooled_connection& connection,
                                                                  const std::string& endpoint,
-                                                                 clock::time_point deadline) {
+                                                                 clock::time_point deadline,
+                                                                 bool& is_refused) {
   const endpoint_parts parts = ParseEndpoint(endpoint);
   boost::system::error_code parse_error;
   const auto address = asio::ip::make_address(parts.ip, parse_error);
@@ -140,6 +142,7 @@
   connection.stream.expires_at(std::min(deadline, clock::now() + settings.connect_timeout));
   const tcp::endpoint target(address, static_cast<std::uint16_t>(parts.port));
   auto [error] = co_await connection.stream.async_connect(target, kAsTuple);
+  is_refused = error == asio::error::connection_refused;
   if (error) co_return ToStatus(error, "cannot connect to", endpoint);
   SetSocketOptions(connection.stream.socket());
   co_return absl::OkStatus();
@@ -159,7 +162,9 @@
   connection_ptr connection = state->AcquireIdle(endpoint);
   if (connection == nullptr) {
     connection = std::make_unique<pooled_connection>(co_await asio::this_coro::executor);
-    result.status = co_await state->Connect(*connection, endpoint, deadline);
+    bool is_refused = false;
+    result.status = co_await state->Connect(*connection, endpoint, deadline, is_refused);
+    if (is_refused) result.ended_by_peer = peer_end::kRefused;
     if (!result.status.ok()) co_return result;
   }
   http::request<http::string_body> message = MakeMessage(endpoint, std::move(request));
@@ -179,6 +184,7 @@
   (void)read;
   if (read_error) {
     result.status = ToStatus(read_error, "cannot read the response from", endpoint);
+    if (read_error == http::error::end_of_stream) result.ended_by_peer = peer_end::kClosed;
     co_return result;
   }
   // Without a length or chunked encoding a complete response cannot be told from a truncated one.
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -26,6 +26,16 @@
   std::uint64_t max_body_bytes = 64u << 20;
 };
 
+/// How a peer ended an exchange without a response.
+enum class peer_end {
+  /// It did not, or in another way: a timeout, a reset, an unreachable address.
+  kNone,
+  /// It closed the connection in an orderly way before it sent a byte of the response.
+  kClosed,
+  /// It refused the connection: no process listens at the address.
+  kRefused,
+};
+
 /// Result of one HTTP exchange.
 struct http_exchange {
   /// Ok when a complete response was read. DeadlineExceeded after the timeout, Unavailable for a connection
@@ -35,6 +45,8 @@
   bool bytes_sent = false;
   /// The response; empty unless the status is ok.
   http_response response;
+  /// How the peer ended the exchange, when the status is not ok.
+  peer_end ended_by_peer = peer_end::kNone;
 };
 
 /// An HTTP client that keeps connections open between exchanges. Safe to use from every loop of the pool. It
--- a/tests/coordination/pool/pool_owner_test.cpp
+++ b/tests/coordination/pool/pool_owner_test.cpp
@@ -175,6 +175,57 @@
   });
 }
 
+// Guards against giving up a worker that was only silent: once its runs were lost with their lease, nothing
+// called it again, and it stayed unused although it was registered all the time.
+TEST_CASE("a worker that was silent for longer than its lease is used again", "[pool]") {
+  owner_fixture fixture(1);
+  pool_settings settings = TestPool();
+  settings.worker_lease = milliseconds(300);
+  owner_vm vm("a", TestOwnership(), settings, fixture.store, fixture.workers, fixture.loop);
+  const std::string task = TaskName(kFirstJob, 0, 0, 0);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    Submit(fixture.store, kFirstJob);
+    const bool started = co_await WaitUntil([&] { return fixture.workers.starts == 1; });
+    CHECK(started);
+    co_await transport::Sleep(milliseconds(100));
+    fixture.workers.unreachable.insert("worker-0");
+    // The call in progress takes a second, the next one its timeout, and the lease half a second.
+    co_await transport::Sleep(milliseconds(3500));
+    fixture.workers.End("worker-0", task, end_kind::kLeaseExpired);
+    fixture.workers.unreachable.clear();
+    const bool restarted = co_await WaitUntil([&] { return fixture.workers.starts == 2; });
+    CHECK(restarted);
+    vm.Kill();
+  });
+}
+
+// Guards against a second run on a worker that is only cut off: a refused connection may come from a
+// firewall. With the orderly end of a waiting call before it, it shows that the process has ended.
+TEST_CASE("a refused connection ends a run only after a waiting call was closed", "[pool]") {
+  const bool is_closed_first = GENERATE(false, true);
+  owner_fixture fixture(2);
+  owner_vm vm("a", TestOwnership(), TestPool(), fixture.store, fixture.workers, fixture.loop);
+  const std::string task = TaskName(kFirstJob, 0, 0, 0);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    Submit(fixture.store, kFirstJob);
+    const bool started = co_await WaitUntil([&] { return fixture.workers.CountRuns(task) == 1; });
+    CHECK(started);
+    co_await transport::Sleep(milliseconds(100));
+    const std::string worker = fixture.workers.CountRunsOn("worker-0") > 0 ? "worker-0" : "worker-1";
+    if (is_closed_first) {
+      fixture.workers.signs[worker] = process_sign::kClosed;
+      fixture.workers.unreachable.insert(worker);
+      // The call that waits for an end returns within a second.
+      co_await transport::Sleep(milliseconds(1300));
+    }
+    fixture.workers.signs[worker] = process_sign::kRefused;
+    fixture.workers.unreachable.insert(worker);
+    co_await transport::Sleep(milliseconds(1800));
+    CHECK(fixture.workers.starts == (is_closed_first ? 2 : 1));
+    vm.Kill();
+  });
+}
+
 // Guards against a pool that is lost because of one malformed message: each owner would give the ownership up
 // on the same row or reply.
 TEST_CASE("an exception in one row or reply leaves the others in force", "[pool]") {
--- a/tests/coordination/pool/standin_workers.cpp
+++ b/tests/coordination/pool/standin_workers.cpp
@@ -71,7 +71,11 @@
   lists_reply reply;
   if (failing.contains(address.worker)) throw std::runtime_error("malformed reply");
   if (unreachable.contains(address.worker)) {
-    co_await transport::Sleep(wait + timeout);
+    const auto sign = signs.find(address.worker);
+    const bool is_ended = sign != signs.end();
+    // A closed or refused connection ends the call at once.
+    co_await transport::Sleep(is_ended ? milliseconds(1) : wait + timeout);
+    if (is_ended) reply.sign = sign->second;
     co_return reply;
   }
   const auto end = transport::BootNow() + wait;
--- a/tests/coordination/pool/standin_workers.h
+++ b/tests/coordination/pool/standin_workers.h
@@ -37,6 +37,8 @@
   std::function<void(const std::string&)> on_start;
   /// Workers that do not reply. Their runs continue.
   std::set<std::string> unreachable;
+  /// Signs of the processes of unreachable workers. A worker without an entry shows none.
+  std::map<std::string, coordination::pool::process_sign> signs;
   /// Workers for which each call fails with an exception.
   std::set<std::string> failing;
   /// Number of executed starts.
--- a/tests/state/pool/pool_fixture.cpp
+++ b/tests/state/pool/pool_fixture.cpp
@@ -84,10 +84,7 @@
 
 std::vector<worker_order> pool_fixture::Plan() {
   state.MakeDueOccurrences(now, wall_now);
-  const pool_plan plan = PlanPool(state, now, wall_now);
-  for (const planned_stop& stop : plan.stops) state.StopUnit(stop.position, stop.reason);
-  for (const planned_start& start : plan.starts)
-    state.StartUnit(start.position, start.workers, now, start.is_remote);
+  ApplyPlan(PlanPool(state, now, wall_now), state, now);
   return state.TakeOrders();
 }
 
--- a/tests/state/pool/pool_plan_test.cpp
+++ b/tests/state/pool/pool_plan_test.cpp
@@ -77,6 +77,74 @@
   CHECK(stopped == std::set<std::string>{"0000000000000001"});
 }
 
+// Load: a stream of urgent tasks beside two patient jobs of the same kind. Guards against stopping the same
+// job for each of them while the other one is spared.
+TEST_CASE("preemption does not choose the same job each time", "[pool]") {
+  pool_fixture pool(2, 2);
+  pool.Submit("0000000000000001", pool_fixture::Step(1, 8), 2);
+  pool.Submit("0000000000000002", pool_fixture::Step(1, 8), 2);
+  pool.Accept(pool.Plan());
+  pool.AdvanceTime(milliseconds(1000));
+  pool.state.CountPreemption({"0000000000000001", 0, 0, 0});
+  pool.Submit(kUrgentJob, pool_fixture::Step(1, 8), 0);
+  std::vector<worker_order> stops = pool.Plan();
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].task.substr(0, 16) == "0000000000000002");
+}
+
+// Guards against choosing a victim that loses all of its work over one that resumes from its checkpoint.
+TEST_CASE("preemption prefers units that save their progress", "[pool]") {
+  pool_fixture pool(2, 2);
+  step_request resumable = pool_fixture::Step(1, 8);
+  resumable.checkpointable = true;
+  pool.Submit("0000000000000001", resumable, 2);
+  pool.Accept(pool.Plan());
+  pool.AdvanceTime(seconds(4));
+  pool.Submit("0000000000000002", pool_fixture::Step(1, 8), 2);
+  pool.Accept(pool.Plan());
+  pool.AdvanceTime(seconds(2));
+  pool.Submit(kUrgentJob, pool_fixture::Step(1, 8), 0);
+  std::vector<worker_order> stops = pool.Plan();
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].task.substr(0, 16) == "0000000000000001");
+}
+
+// Load: some workers start everything and then stand still. Guards against placing the next task, and the
+// stopped one, on the same worker again.
+TEST_CASE("a worker on which a task stalled is avoided for some time", "[pool]") {
+  pool_fixture pool(2, 2);
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  pool.Accept(pool.Plan());
+  const std::string stalled_on = pool.state.FindUnit({kJob, 0, 0, 0})->members[0].worker;
+  for (int second = 0; second < 5; ++second) {
+    pool.AdvanceTime(seconds(1));
+    pool.ApplyLists(stalled_on, {{Task(0), 1, "", 20}});
+    pool.Plan();
+  }
+  pool.Submit(kUrgentJob, pool_fixture::Step(1, 1), 1);
+  std::vector<worker_order> orders = pool.Plan();
+  REQUIRE(orders.size() == 1);
+  CHECK(orders[0].worker != stalled_on);
+  pool.AdvanceTime(pool.state.settings().max_avoid_time);
+  CHECK(pool.state.workers().at(stalled_on).IsUsable(pool.now));
+}
+
+// Load: patient single tasks arrive beside gangs that need one rack. Guards against placing them on the
+// fullest worker wherever it is, which leaves no rack with room for the gang.
+TEST_CASE("single tasks fill the fullest rack first", "[pool]") {
+  pool_fixture pool(4, 2);
+  // Leaves 0 and 5 accelerators free in the first rack, 2 and 8 in the second.
+  int id = 0;
+  for (const int accelerators : {8, 3, 6, 1}) {
+    pool.Submit("000000000000000" + std::to_string(id++), pool_fixture::Step(1, accelerators), 2);
+    pool.Accept(pool.Plan());
+  }
+  step_request gang = pool_fixture::Step(5, 2, true);
+  gang.same_rack = true;
+  pool.Submit(kJob, gang, 1);
+  CHECK(pool.Plan().size() == 5);
+}
+
 // Guards against jobs of priority 0 having to preempt a burst of lower priority that arrived just before
 // them. Without the headroom each of them would need one stop.
 TEST_CASE("lower priorities leave headroom for priority 0 while they have slack", "[pool]") {
--- a/tests/state/pool/pool_state_test.cpp
+++ b/tests/state/pool/pool_state_test.cpp
@@ -226,6 +226,26 @@
   CHECK(replacement[0].run > orders[0].run);
 }
 
+// Load: workers crash while urgent work runs on them. Guards against waiting for the lease of a process that
+// is known to have ended, and against a second run where a late start may reach its next incarnation.
+TEST_CASE("the end of a worker's process releases the runs that cannot start late", "[pool]") {
+  const bool may_start_late = GENERATE(false, true);
+  pool_fixture pool(2, 2);
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  const std::vector<worker_order> orders = pool.Plan();
+  REQUIRE(orders.size() == 1);
+  pool.state.GrantLease(orders[0].worker, pool.now);
+  if (may_start_late) pool.state.MarkStartUnanswered(orders[0].task, orders[0].run);
+  pool.Accept(orders);
+  pool.state.MarkUnreachable(orders[0].worker, "closed", pool.now);
+  pool.state.HandleProcessEnd(orders[0].worker);
+  const std::vector<worker_order> replacement = pool.Plan();
+  REQUIRE(replacement.size() == (may_start_late ? 0 : 1));
+  if (may_start_late) return;
+  CHECK(replacement[0].worker != orders[0].worker);
+  CHECK(replacement[0].run == 2);
+}
+
 // Guards against a second run next to a start that is executed seconds late. Only a confirmed stop rules that
 // out.
 TEST_CASE("a start without a reply blocks its unit until a stop is confirmed", "[pool]") {
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -103,6 +103,7 @@
   endpoint = "127.0.0.1:1";
   const http_exchange exchange = Send({"POST", "/", {}, "x"});
   CHECK(absl::IsUnavailable(exchange.status));
+  CHECK(exchange.ended_by_peer == peer_end::kRefused);
   CHECK_FALSE(exchange.bytes_sent);
 }
 
