Give the ownership up when a hand-over fails

An exception while the lease was released left the VM with the lease, without its pool's loops and without authority; its loop was run again and would have renewed the lease for ever. Change: a loop that runs again after a failed release gives the ownership up. Measured: the new test fails without the change.

--- a/src/coordination/pool/ownership.cpp
+++ b/src/coordination/pool/ownership.cpp
@@ -31,6 +31,9 @@
 }
 
 boost::asio::awaitable<void> ownership::Run() {
+  // Run was ended by an exception during a release: the pool's owner is stopped, so the lease must not be
+  // renewed for it.
+  if (std::exchange(releasing_, false)) Lose("the release failed");
   while (!stopping_) {
     if (is_owner() && !successor_.empty()) {
       co_await HandOver();
--- a/tests/coordination/pool/memory_store.cpp
+++ b/tests/coordination/pool/memory_store.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <stdexcept>
 
 #include "transport/async_event.h"
 
@@ -48,6 +49,7 @@
 asio::awaitable<transaction_result> memory_store::Apply(store_transaction transaction, milliseconds timeout) {
   ++writes;
   (void)timeout;
+  if (is_broken) throw std::runtime_error("broken");
   co_await transport::Sleep(milliseconds(1));
   transaction_result unknown;
   if (is_down) co_return unknown;
--- a/tests/coordination/pool/memory_store.h
+++ b/tests/coordination/pool/memory_store.h
@@ -32,6 +32,8 @@
   std::string silent_table;
   /// True while change feeds cannot be continued because their history is gone.
   bool is_history_gone = false;
+  /// True while transactions fail with an exception.
+  bool is_broken = false;
   /// Number of versions by which reads of ranges are behind. Reads then return the newest rows all the same.
   std::int64_t read_lag = 0;
   /// Table whose changes are refused; empty for none.
--- a/tests/coordination/pool/ownership_test.cpp
+++ b/tests/coordination/pool/ownership_test.cpp
@@ -172,6 +172,30 @@
   });
 }
 
+// Guards against a VM that renews the lease although it stopped its work for a hand-over that failed: no VM
+// would start anything.
+TEST_CASE("a failed hand-over ends the ownership", "[pool]") {
+  memory_store store;
+  ownership owner(store, Log(), Settings("a", "a1"));
+  RunWith({}, [&]() -> asio::awaitable<void> {
+    const auto executor = co_await asio::this_coro::executor;
+    asio::co_spawn(executor, owner.Run(), [](const std::exception_ptr&) {});
+    co_await transport::Sleep(milliseconds(60));
+    CHECK(owner.epoch() == 1);
+    store.is_broken = true;
+    owner.RequestHandover("b");
+    co_await transport::Sleep(milliseconds(60));
+    store.is_broken = false;
+    CHECK_FALSE(owner.HasAuthority());
+    // The VM runs a loop again that ended with an exception.
+    asio::co_spawn(executor, owner.Run(), asio::detached);
+    co_await transport::Sleep(milliseconds(200));
+    CHECK(owner.epoch() == 2);
+    CHECK(owner.HasAuthority());
+    owner.Stop();
+  });
+}
+
 // Guards against a VM that is too small taking over while stronger ones are there, and against a pool without
 // an owner when no stronger one takes over.
 TEST_CASE("a standby VM takes over only if no other VM does", "[pool]") {
