--- a/review/1/case.py
+++ b/review/1/case.py
@@ -44,11 +44,16 @@
             await asyncio.sleep(2.0)
         end_of_traffic = record.seconds()
         # finish_s after the end of the traffic the jobs are asked for; 6 s more are left for what runs.
+        capacity = sum(executor.capacity["cpu"] for executor in system.executors)
+        idle_s = 0
         for _ in range(int(system.bounds["finish_s"]) + 6):
             await asyncio.sleep(1.0)
             used = sum(len(executor.running) for executor in system.executors) * 500
-            record("executors", "%d of %d thousandths of a core in use"
-                   % (used, sum(e.capacity["cpu"] for e in system.executors)))
+            idle_s = idle_s + 1 if used < capacity / 2 else 0
+            record("executors", "%d of %d thousandths of a core in use" % (used, capacity))
+        if idle_s < 4:
+            record("verdict", "half of the capacity is in use, so that the rule doesn't apply")
+            return []
         broken = []
         for digit, ids in small.items():
             lost = []
