Report why accepted jobs are not started

The owner logs what it starts and stops, but nothing about a task that it doesn't start, so the hypotheses of the incident could not be told apart.

wait_monitor finds the jobs that have had a ready task and none running for 2 s, and the reason: planning paused, held for a former owner, unresolved or unreachable worker, start not confirmed, headroom, no room near or anywhere. The owner logs at most five of them a second, each once in 4 s, with one summary of jobs by cause and workers by condition, and serves both as metrics. No decision changes: worker_entry::IsUsable has the same conditions as before, by name.

--- a/src/coordination/pool/pool_dump.cpp
+++ b/src/coordination/pool/pool_dump.cpp
@@ -13,6 +13,8 @@
   return json{{"address", worker.registration.address},
               {"rack", worker.registration.rack},
               {"listed", worker.listed},
+              {"recorded", worker.recorded},
+              {"lists_applied", worker.lists_applied},
               {"draining", worker.registration.draining},
               {"reachable", worker.reachable},
               {"known", !worker.may_have_unlisted_runs},
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -1,5 +1,7 @@
 #include "coordination/pool/pool_owner.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <nlohmann/json.hpp>
 
@@ -39,6 +41,9 @@
 constexpr milliseconds kRecordInterval{1000};
 // Time for which final jobs are kept: the required 120 s, plus the time that a client may take to query them.
 constexpr milliseconds kFinalJobRetention{150'000};
+// Interval at which waiting jobs are looked for, and the maximum number of records about them each time.
+constexpr milliseconds kWaitReportInterval{1000};
+constexpr std::size_t kMaxWaitRecords = 5;
 
 }  // namespace
 
@@ -347,12 +352,15 @@
   const unix_time wall_now = parts_.wall_clock->At(now);
   state_.MakeDueOccurrences(now, wall_now);
   // A start that cannot be recorded is not sent, so no task is stopped to make room for it either.
+  std::optional<pool_plan> plan;
   if (MayOrder() && IsKnowledgeFresh(now) && writer_.is_storing() && state_.HaveAllWorkersReplied()) {
-    ApplyPlan(PlanPool(state_, now, wall_now), state_, now);
+    plan = PlanPool(state_, now, wall_now);
+    ApplyPlan(*plan, state_, now);
   }
   StartSessions();
   DispatchOrders();
   LogEvents();
+  LogWaits(plan ? &plan->unplaced : nullptr, now);
   writer_.Notify();
 }
 
@@ -400,4 +408,48 @@
   }
 }
 
+std::array<int, kWorkerConditions> pool_owner::CountWorkers(boot_time now) const {
+  std::array<int, kWorkerConditions> counts{};
+  for (const auto& [id, worker] : state_.workers()) ++counts[static_cast<std::size_t>(worker.Condition(now))];
+  return counts;
+}
+
+void pool_owner::LogWaits(const std::vector<unplaced_step>* unplaced, boot_time now) {
+  if (now - waits_updated_at_ < kWaitReportInterval) return;
+  waits_updated_at_ = now;
+  for (const waiting_job& job : waits_.Update(state_, unplaced, now, kMaxWaitRecords)) {
+    log_fields fields{{"id", job.id}, {"task", job.task}, {"cause", std::string(WaitCauseName(job.cause))}};
+    if (!job.worker.empty()) fields.emplace_back("worker", job.worker);
+    fields.emplace_back("waited_ms", std::to_string(job.waited.count()));
+    parts_.log->Write("scheduler", "job waits", fields);
+  }
+  log_fields summary;
+  for (int i = 0; i < kWaitCauses; ++i) {
+    const int jobs = waits_.jobs_by_cause()[i];
+    if (jobs > 0) summary.emplace_back(WaitCauseName(static_cast<wait_cause>(i)), std::to_string(jobs));
+  }
+  if (summary.empty()) return;
+  const std::array<int, kWorkerConditions> workers = CountWorkers(now);
+  for (int i = 0; i < kWorkerConditions; ++i) {
+    summary.emplace_back(WorkerConditionName(static_cast<worker_condition>(i)), std::to_string(workers[i]));
+  }
+  parts_.log->Write("scheduler", "jobs wait", summary);
+}
+
+std::string pool_owner::MetricsToText() const {
+  std::string text = "# TYPE hickorystall_pool_workers gauge\n";
+  const std::array<int, kWorkerConditions> workers = CountWorkers(BootNow());
+  for (int i = 0; i < kWorkerConditions; ++i) {
+    const std::string condition(WorkerConditionName(static_cast<worker_condition>(i)));
+    text += absl::StrCat("hickorystall_pool_workers{condition=\"", condition, "\"} ", workers[i], "\n");
+  }
+  text += "# TYPE hickorystall_pool_waiting_jobs gauge\n";
+  for (int i = 0; i < kWaitCauses; ++i) {
+    const std::string cause(WaitCauseName(static_cast<wait_cause>(i)));
+    text += absl::StrCat("hickorystall_pool_waiting_jobs{cause=\"", cause, "\"} ", waits_.jobs_by_cause()[i],
+                         "\n");
+  }
+  return text;
+}
+
 }  // namespace hickorystall::coordination::pool
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -2,6 +2,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
 #include <memory>
@@ -17,6 +18,7 @@
 #include "coordination/pool/table_feed.h"
 #include "coordination/pool/worker_orders.h"
 #include "state/pool/pool_state.h"
+#include "state/pool/wait_monitor.h"
 #include "transport/boot_clock.h"
 #include "transport/wake_signal.h"
 
@@ -56,6 +58,9 @@
   void Wake() { wake_.Notify(); }
   /// The pool's jobs and workers, for dumps and tests.
   const state::pool::pool_state& state() const { return state_; }
+  /// Returns the number of workers by condition and of waiting jobs by cause, in the Prometheus text format
+  /// (version 0.0.4).
+  std::string MetricsToText() const;
 
  private:
   // True while the lists of `worker` must be read or its lease must be renewed.
@@ -88,6 +93,9 @@
   void StartSessions();
   void DispatchOrders();
   void LogEvents();
+  // Logs which jobs wait and why, once in each reporting interval. `unplaced` is null if no plan was made.
+  void LogWaits(const std::vector<state::pool::unplaced_step>* unplaced, state::pool::boot_time now);
+  std::array<int, state::pool::kWorkerConditions> CountWorkers(state::pool::boot_time now) const;
   void HandleNoReply(const std::string& worker, const lists_reply& reply);
   void LogFailedCall(const std::string& worker, const std::exception& failure);
   void HandleReply(const std::string& worker, const order_reply& reply);
@@ -111,7 +119,9 @@
   std::set<std::string> recorded_workers_;
   // Workers for which RunSession is active.
   std::set<std::string> sessions_;
-  state::pool::boot_time sampled_at_{};
+  state::pool::wait_monitor waits_;
+  // When `waits_` was last updated.
+  state::pool::boot_time waits_updated_at_{};
   bool stopped_ = false;
 };
 
--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -183,7 +183,14 @@
   // false if neither is possible.
   bool TryPlace(const waiting_step& entry, int number) {
     const work_unit& unit = entry.progress->units[number];
-    if (!MayUseHeadroom(entry, unit)) return false;
+    if (!MayUseHeadroom(entry, unit)) {
+      const std::int64_t need =
+          entry.request->need.accelerators * static_cast<std::int64_t>(unit.members.size());
+      const bool has_room = total_free_.accelerators > 0 && total_free_.accelerators >= need;
+      plan_.unplaced.push_back(
+          {entry.Position(number), has_room ? wait_cause::kHeadroom : wait_cause::kNoCapacity});
+      return false;
+    }
     const unit_shape shape = MakeShape(entry, unit);
     const placement_reach reach = ChooseReach(entry, unit, shape);
     if (const auto places = PlaceUnit(free_, index_, shape, reach)) {
@@ -192,9 +199,16 @@
     }
     if (const auto places = PlaceUnit(free_after_stops_, index_, shape, reach)) {
       Reserve(*entry.request, *places);
+      plan_.unplaced.push_back({entry.Position(number), wait_cause::kCapacityReserved});
       return true;
     }
-    return entry.priority == 0 && entry.outlook != deadline_outlook::kMissed && Preempt(entry, shape, reach);
+    const bool preempts =
+        entry.priority == 0 && entry.outlook != deadline_outlook::kMissed && Preempt(entry, shape, reach);
+    const wait_cause cause = preempts                          ? wait_cause::kCapacityReserved
+                             : reach == placement_reach::kNear ? wait_cause::kNoNearCapacity
+                                                               : wait_cause::kNoCapacity;
+    plan_.unplaced.push_back({entry.Position(number), cause});
+    return preempts;
   }
 
   // Returns whether the tasks of `step` are slower away from their data or spread over racks.
--- a/src/state/pool/pool_plan.h
+++ b/src/state/pool/pool_plan.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "state/pool/pool_state.h"
+#include "state/pool/wait_cause.h"
 
 namespace hickorystall::state::pool {
 
@@ -28,12 +29,21 @@
   std::vector<std::string> stalled_on;
 };
 
+/// A step with ready units that the pass did not start.
+struct unplaced_step {
+  /// The first of these units.
+  unit_position position;
+  wait_cause cause = wait_cause::kNoCapacity;
+};
+
 /// Result of one planning pass.
 struct pool_plan {
   std::vector<planned_stop> stops;
   std::vector<planned_start> starts;
   /// Number of ready units that were neither started nor given a reservation.
   int waiting = 0;
+  /// One entry for each step with such units, and for each unit with a reservation.
+  std::vector<unplaced_step> unplaced;
 };
 
 /// Decides which units to start and stop at `now`. The result depends only on the arguments. A gang is placed
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -1,5 +1,6 @@
 // Part of pool_state: registrations and replies of workers.
 #include <algorithm>
+#include <array>
 #include <cassert>
 #include <cmath>
 
@@ -14,8 +15,16 @@
 // A worker lists at most this many ends at a time, so a list of this length may be incomplete.
 constexpr std::size_t kMaxEndsPerReply = 500;
 
+// Indexed by worker_condition.
+constexpr std::array<std::string_view, kWorkerConditions> kConditionNames{
+    "usable", "unlisted", "not_recorded", "not_read", "unreachable", "draining", "avoided"};
+
 }  // namespace
 
+std::string_view WorkerConditionName(worker_condition condition) {
+  return kConditionNames[static_cast<std::size_t>(condition)];
+}
+
 void pool_state::SetRegistration(const worker_registration& registration, boot_time now) {
   worker_entry& worker = workers_[registration.id];
   const bool was_listed = worker.listed;
--- a/src/state/pool/worker_entry.h
+++ b/src/state/pool/worker_entry.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "state/pool/job_request.h"
@@ -90,6 +91,27 @@
   std::vector<listed_end> finished;
 };
 
+/// Whether new tasks may start on a worker, or the first reason why not.
+enum class worker_condition {
+  kUsable,
+  /// It is not registered.
+  kUnlisted,
+  /// Its id is not stored yet.
+  kNotRecorded,
+  /// Its lists have not been read yet.
+  kNotRead,
+  kUnreachable,
+  kDraining,
+  /// It is avoided after failures.
+  kAvoided,
+};
+
+/// Number of enumerators of `worker_condition`.
+inline constexpr int kWorkerConditions = 7;
+
+/// Returns the name of `condition` as used in log records and metrics.
+std::string_view WorkerConditionName(worker_condition condition);
+
 /// A worker as known to the owner of the pool.
 struct worker_entry {
   /// Latest registration. Only the id and address are set for a worker known only from an earlier owner.
@@ -140,8 +162,14 @@
     return free;
   }
   /// Returns whether new tasks may start on the worker at `now`.
-  bool IsUsable(boot_time now) const {
-    return listed && recorded && lists_applied && reachable && !registration.draining && now >= avoided_until;
+  bool IsUsable(boot_time now) const { return Condition(now) == worker_condition::kUsable; }
+  worker_condition Condition(boot_time now) const {
+    if (!listed) return worker_condition::kUnlisted;
+    if (!recorded) return worker_condition::kNotRecorded;
+    if (!lists_applied) return worker_condition::kNotRead;
+    if (!reachable) return worker_condition::kUnreachable;
+    if (registration.draining) return worker_condition::kDraining;
+    return now < avoided_until ? worker_condition::kAvoided : worker_condition::kUsable;
   }
 };
 
