Store which workers are silent and when their leases end

Cause: what an owner knows about a silent worker, that nobody has renewed its lease since, was only in its memory. Each new owner assumed that its predecessor had renewed the lease until the end of its authority and waited 10.1 s from its own takeover, also for workers that had crashed long before, and anew at each change of owner.

Change: the owner stores the workers with runs that do not reply, with the end of their leases on the store's clock, and grants them no lease until it has removed them from that row. A later owner waits until that time only. The row counts if the direct predecessor wrote it.

--- a/src/coordination/pool/ownership.cpp
+++ b/src/coordination/pool/ownership.cpp
@@ -166,6 +166,7 @@
     co_await transport::Sleep(kRetryPause);
     co_return;
   }
+  ReadStoreClock(result, sent_at);
   epoch_ = epoch;
   epoch_version_ = result.version;
   lease_version_ = result.version;
@@ -180,6 +181,10 @@
   if (listener_) listener_(true);
 }
 
+void ownership::ReadStoreClock(const transaction_result& result, boot_time sent_at) {
+  if (result.store_time) store_clock_ = store_clock_reading{sent_at, BootNow(), *result.store_time};
+}
+
 boost::asio::awaitable<void> ownership::RenewOnce() {
   const boot_time next = BootNow() + settings_.renewal;
   const boot_time sent_at = BootNow();
@@ -194,6 +199,7 @@
     if (was_late) log_.Write("ownership", "renewed late", {{"epoch", std::to_string(epoch_)}});
     lease_version_ = result.version;
     confirmed_at_ = sent_at;
+    ReadStoreClock(result, sent_at);
     last_contact_ = BootNow();
     while (!stopping_ && is_owner() && successor_.empty() && BootNow() < next) {
       co_await transport::Sleep(std::min(milliseconds(100), next - BootNow()));
--- a/src/coordination/pool/ownership.h
+++ b/src/coordination/pool/ownership.h
@@ -38,6 +38,13 @@
   std::chrono::milliseconds standby_delay{700};
 };
 
+/// A reading of the store's clock. It was taken between `sent_at` and `received_at` on this VM's clock.
+struct store_clock_reading {
+  state::pool::boot_time sent_at{};
+  state::pool::boot_time received_at{};
+  std::chrono::milliseconds store_time{0};
+};
+
 /// The right of one VM at a time to make decisions for the pool, kept as a lease in the store. Every owner
 /// has a higher epoch than its predecessor. The epoch is the fencing token of its orders, and its writes are
 /// conditional on the epoch's row.
@@ -74,6 +81,8 @@
   state::pool::boot_time predecessor_authority_end() const { return predecessor_authority_end_; }
   /// Time at which the last applied renewal was sent. No other VM was the owner then.
   state::pool::boot_time confirmed_at() const { return confirmed_at_; }
+  /// Latest reading of the store's clock; empty if its replies do not contain it.
+  const std::optional<store_clock_reading>& store_clock() const { return store_clock_; }
   /// Gives up the ownership without releasing the lease, for example because another VM has a higher epoch.
   /// `reason` is logged.
   void Lose(const std::string& reason);
@@ -111,6 +120,7 @@
   // True when nobody holds the lease, or its holder is an earlier incarnation on this VM.
   bool HasHolderEnded() const;
   std::string LeaseValue(std::int64_t epoch) const;
+  void ReadStoreClock(const transaction_result& result, state::pool::boot_time sent_at);
   boost::asio::awaitable<bool> WaitForPreferredVms();
 
   pool_store& store_;
@@ -128,6 +138,7 @@
   state::pool::boot_time confirmed_at_{};
   state::pool::boot_time predecessor_authority_end_{};
   state::pool::boot_time last_contact_{};
+  std::optional<store_clock_reading> store_clock_;
   bool is_standby_ = false;
   // VM to which the ownership is to be handed over; empty for none.
   std::string successor_;
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -55,6 +55,7 @@
       executor_(executor),
       state_(settings, epoch),
       writer_(*parts_.store, *parts_.log, *parts_.owner, state_, executor),
+      silence_(*parts_.store, *parts_.owner, state_, executor),
       wake_(executor),
       registry_changed_(executor),
       jobs_feed_(*parts_.store, *parts_.log, {kJobsTable, {kJobPartitions.begin(), kJobPartitions.end()}}),
@@ -91,6 +92,7 @@
 void pool_owner::Stop() {
   stopped_ = true;
   writer_.Stop();
+  silence_.Stop();
   wake_.Notify();
   registry_changed_.Notify();
 }
@@ -105,6 +107,7 @@
   Spawn(FollowJobs());
   Spawn(FollowRegistry());
   Spawn(RecordWorkers());
+  Spawn(silence_.Run());
   writer_.Start([this](asio::awaitable<void> loop) { Spawn(std::move(loop)); });
   Spawn(PlanLoop());
 }
@@ -204,10 +207,15 @@
       if (address.is_string()) addresses[id] = address.get<std::string>();
     }
   }
-  for (const auto& [id, address] : addresses) state_.AddRecordedWorker(id, address, bound);
+  const std::map<std::string, boot_time> silent = silence_.Load(recorded.rows);
+  const auto bound_of = [&silent, bound](const std::string& id) {
+    const auto found = silent.find(id);
+    return found == silent.end() ? bound : std::min(bound, found->second);
+  };
+  for (const auto& [id, address] : addresses) state_.AddRecordedWorker(id, address, bound_of(id));
   state_.SetRecordedWorkers(std::move(addresses));
   // Workers are recorded before their first order, so the row already names these unless it was unreadable.
-  for (const std::string& id : state_.UnresolvedWorkers()) state_.AddRecordedWorker(id, "", bound);
+  for (const std::string& id : state_.UnresolvedWorkers()) state_.AddRecordedWorker(id, "", bound_of(id));
   state_.HoldRecordedStarts(authority_end);
   state_.AwaitFirstReplies();
   co_return true;
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -15,6 +15,7 @@
 #include "coordination/pool/ownership.h"
 #include "coordination/pool/pool_store.h"
 #include "coordination/pool/progress_writer.h"
+#include "coordination/pool/silence_record.h"
 #include "coordination/pool/table_feed.h"
 #include "coordination/pool/worker_orders.h"
 #include "state/pool/pool_state.h"
@@ -108,6 +109,7 @@
   const boost::asio::any_io_executor executor_;
   state::pool::pool_state state_;
   progress_writer writer_;
+  silence_record silence_;
   transport::wake_signal wake_;
   transport::wake_signal registry_changed_;
   table_feed jobs_feed_;
--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds kOrderTimeout{400};
 // Maximum wait of a renewal for an end. It bounds the age of the known progress and is a sixth of the lease.
 constexpr milliseconds kRenewWait{1000};
+// The same while the lease of the worker is frozen: it must be renewed soon after that ends.
+constexpr milliseconds kFrozenRenewWait{100};
 // Pause between calls to a worker that does not reply.
 constexpr milliseconds kUnreachablePause{400};
 // Pause before an order without a reply is sent again.
@@ -55,6 +57,7 @@
 // orderly end of a waiting call it does. A draining worker may stop listening before its runs have ended.
 void pool_owner::HandleNoReply(const std::string& id, const lists_reply& reply) {
   state_.MarkUnreachable(id, reply.reason, BootNow());
+  silence_.Notify();
   worker_entry* worker = state_.FindWorker(id);
   if (worker == nullptr) return;
   if (reply.sign == process_sign::kClosed) worker->closed_a_call = true;
@@ -86,9 +89,12 @@
   const std::int64_t incarnation = worker->registration.incarnation;
   std::optional<worker_time> deadline;
   // An unreachable worker gets no new lease: the lease must expire so that its tasks can start elsewhere.
-  if (was_reachable && worker->lists_applied && !worker->tasks.empty())
+  if (was_reachable && worker->lists_applied && !worker->tasks.empty() && !worker->lease_frozen)
     deadline = state_.GrantLease(id, BootNow());
-  const milliseconds wait = was_reachable && worker->lists_applied ? kRenewWait : milliseconds(0);
+  const bool may_wait = was_reachable && worker->lists_applied;
+  const milliseconds wait = !may_wait              ? milliseconds(0)
+                            : worker->lease_frozen ? kFrozenRenewWait
+                                                   : kRenewWait;
   const std::int64_t call_number = state_.NextCallNumber();
   const order_address address = AddressOf(*worker);
   const std::int64_t acknowledged = worker->acknowledged_end;
@@ -117,6 +123,7 @@
   }
   const bool is_same_incarnation = reply.lists.incarnation == incarnation || incarnation == 0;
   const std::int64_t highest = state_.ApplyWorkerLists(id, reply.lists, call_number, BootNow());
+  if (!was_reachable || worker->lease_frozen) silence_.Notify();
   Wake();
   if (highest > acknowledged || !is_same_incarnation) {
     const bool stored = co_await writer_.WaitStored(kStoreWait);
@@ -142,8 +149,8 @@
 asio::awaitable<void> pool_owner::SendStart(worker_order order) {
   const boot_time retry_end = BootNow() + state_.settings().gang_timeout;
   const worker_entry* worker = state_.FindWorker(order.worker);
-  // The worker may have given notice while the start was being stored.
-  if (worker == nullptr || !MayOrder() || worker->registration.draining) {
+  // The worker may have given notice or stopped replying while the start was being stored.
+  if (worker == nullptr || !MayOrder() || worker->registration.draining || worker->lease_frozen) {
     state_.HandleStartReply(order.task, order.run, start_reply::kRefused, BootNow());
     co_return;
   }
--- a/src/coordination/pool/pool_store.h
+++ b/src/coordination/pool/pool_store.h
@@ -64,6 +64,8 @@
   std::int64_t version = 0;
   /// After a conflict: the current rows that the conditions name.
   std::vector<stored_row> current;
+  /// Steady clock of the store when it applied the transaction; empty if the reply does not contain it.
+  std::optional<std::chrono::milliseconds> store_time;
 };
 
 struct rows_result {
--- a/src/coordination/pool/pool_tables.h
+++ b/src/coordination/pool/pool_tables.h
@@ -37,6 +37,8 @@
 /// the ownership table, so it has its own table.
 inline constexpr char kWorkersTable[] = "workers";
 inline constexpr char kWorkersKey[] = "all";
+/// Row of the same table that names the workers that do not reply, with the end of their leases.
+inline constexpr char kSilentWorkersKey[] = "silent";
 /// Addresses of the system's VMs by name.
 inline constexpr char kVmsTable[] = "vms";
 /// Suffix of the key of a cancellation. Job ids contain no dot.
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -17,7 +17,7 @@
 
 // Indexed by worker_condition.
 constexpr std::array<std::string_view, kWorkerConditions> kConditionNames{
-    "usable", "unlisted", "not_recorded", "not_read", "unreachable", "draining", "avoided"};
+    "usable", "unlisted", "not_recorded", "not_read", "unreachable", "lease_frozen", "draining", "avoided"};
 
 }  // namespace
 
@@ -42,6 +42,7 @@
   worker.registration.incarnation = incarnation;
   worker.listed = true;
   UpdateRecorded(worker);
+  worker.lease_frozen = frozen_leases_.contains(registration.id);
   if (worker.clock_read_at == boot_time{}) UpdateWorkerClock(registration.id, registration.clock, now);
   if (!was_listed) AddEvent(pool_event_kind::kWorkerListed, "", "", 0, registration.id, "");
   if (registration.draining && !was_draining) {
@@ -63,6 +64,7 @@
   worker_entry& worker = workers_[id];
   worker.may_have_unlisted_runs = true;
   worker.lease_bound = std::max(worker.lease_bound, lease_bound);
+  worker.lease_frozen = frozen_leases_.contains(id);
   if (worker.listed) return;
   worker.registration.id = id;
   worker.registration.address = address;
@@ -78,8 +80,28 @@
   worker.recorded = found != recorded_workers_.end() && found->second == worker.registration.address;
 }
 
+void pool_state::FreezeLeases(std::set<std::string> workers) {
+  frozen_leases_ = std::move(workers);
+  for (auto& [id, worker] : workers_) worker.lease_frozen = frozen_leases_.contains(id);
+}
+
+std::map<std::string, boot_time> pool_state::LeasesOfSilentWorkers() const {
+  std::map<std::string, boot_time> leases;
+  for (const auto& [id, worker] : workers_) {
+    const bool may_run = !worker.tasks.empty() || worker.may_have_unlisted_runs;
+    if (!worker.reachable && may_run) leases[id] = worker.lease_bound;
+  }
+  return leases;
+}
+
+bool pool_state::IsReplying(const std::string& id) const {
+  const auto found = workers_.find(id);
+  return found != workers_.end() && found->second.reachable && found->second.lists_applied;
+}
+
 worker_time pool_state::GrantLease(const std::string& id, boot_time now) {
   worker_entry& worker = workers_.at(id);
+  assert(!worker.lease_frozen);
   const milliseconds lease = settings_.worker_lease;
   const auto bound = milliseconds(std::llround(static_cast<double>(lease.count()) *
                                                (1.0 + settings_.worker_clock_tolerance))) +
--- a/src/state/pool/worker_entry.h
+++ b/src/state/pool/worker_entry.h
@@ -101,13 +101,15 @@
   /// Its lists have not been read yet.
   kNotRead,
   kUnreachable,
+  /// It may be stored as silent, so it gets no lease.
+  kLeaseFrozen,
   kDraining,
   /// It is avoided after failures.
   kAvoided,
 };
 
 /// Number of enumerators of `worker_condition`.
-inline constexpr int kWorkerConditions = 7;
+inline constexpr int kWorkerConditions = 8;
 
 /// Returns the name of `condition` as used in log records and metrics.
 std::string_view WorkerConditionName(worker_condition condition);
@@ -129,6 +131,9 @@
   bool may_have_unlisted_runs = false;
   /// False if the worker did not reply to the latest call.
   bool reachable = true;
+  /// True while the store may name the worker as silent, with the end of its leases. It must not get a lease
+  /// then.
+  bool lease_frozen = false;
   /// True if the connection of a call was closed in an orderly way, and no reply came since.
   bool closed_a_call = false;
   /// Capacity that runs of known units hold or may hold.
@@ -168,6 +173,7 @@
     if (!recorded) return worker_condition::kNotRecorded;
     if (!lists_applied) return worker_condition::kNotRead;
     if (!reachable) return worker_condition::kUnreachable;
+    if (lease_frozen) return worker_condition::kLeaseFrozen;
     if (registration.draining) return worker_condition::kDraining;
     return now < avoided_until ? worker_condition::kAvoided : worker_condition::kUsable;
   }
--- a/tests/coordination/pool/memory_store.cpp
+++ b/tests/coordination/pool/memory_store.cpp
@@ -6,6 +6,7 @@
 #include <stdexcept>
 
 #include "transport/async_event.h"
+#include "transport/boot_clock.h"
 
 namespace hickorystall::tests {
 
@@ -42,6 +43,7 @@
   }
   result.outcome = transaction_outcome::kDone;
   result.version = version_;
+  result.store_time = transport::BootNow().time_since_epoch();
   result.current.clear();
   return result;
 }
--- /dev/null
+++ b/tests/coordination/pool/silent_worker_test.cpp
@@ -0,0 +1,204 @@
+// Tests of the waits for silent workers across changes of owner.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "coordination/pool/memory_store.h"
+#include "coordination/pool/owner_vm.h"
+#include "coordination/pool/pool_codec.h"
+#include "coordination/pool/pool_owner.h"
+#include "coordination/pool/pool_tables.h"
+#include "coordination/pool/standin_workers.h"
+#include "transport/async_event.h"
+#include "transport/boot_clock.h"
+
+namespace hickorystall::tests {
+
+namespace asio = boost::asio;
+using namespace coordination::pool;  // NOLINT(google-build-using-namespace)
+using namespace state::pool;         // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using transport::BootNow;
+
+namespace {
+
+constexpr char kJob[] = "00000000000000aa";
+const std::string kTask = TaskName(kJob, 0, 0, 0);
+
+ownership_settings FastOwnership() {
+  ownership_settings settings;
+  settings.renewal = milliseconds(20);
+  settings.takeover_timeout = milliseconds(80);
+  settings.authority = milliseconds(1000);
+  settings.margin = milliseconds(20);
+  return settings;
+}
+
+pool_settings LongLeases() {
+  pool_settings settings;
+  settings.headroom = 0;
+  settings.worker_lease = milliseconds(3000);
+  return settings;
+}
+
+void SubmitJob(memory_store& store) {
+  job_entry job;
+  job.submission.id = kJob;
+  job.submission.workspace = "w";
+  job.submission.queue = "q";
+  job.submission.service = "s";
+  job.submission.priority = 1;
+  job.submission.max_attempts = 4;
+  job.submission.stretch = 3.0;
+  job.submission.accepted_at = transport::WallNow();
+  step_request step;
+  step.task_count = 1;
+  step.need = {1000, 1024, 8};
+  step.estimate = milliseconds(10'000);
+  job.submission.request.steps = {step};
+  store.ApplyNow({{},
+                  {{kJobsTable, kJob, EncodeSubmission(job.submission), JobPartition(kJob)},
+                   {kProgressTable, kJob, EncodeProgress(job), JobPartition(kJob)}}});
+}
+
+asio::awaitable<bool> WaitUntil(std::function<bool()> holds, milliseconds limit) {
+  const auto end = BootNow() + limit;
+  while (!holds() && BootNow() < end) co_await transport::Sleep(milliseconds(5));
+  co_return holds();
+}
+
+struct two_vm_fixture {
+  two_vm_fixture() {
+    store.ApplyNow({{}, {{kConfigTable, "config", "{}"}}});
+    for (const char* id : {"worker-0", "worker-1"}) {
+      store.ApplyNow({{}, {{kRegistryTable, id, R"({"address":"127.0.0.1:1","born":1})"}}});
+    }
+  }
+
+  // Waits until the job runs and returns its worker.
+  asio::awaitable<std::string> StartJob() {
+    SubmitJob(store);
+    co_await WaitUntil([this] { return workers.starts > 0; }, milliseconds(2000));
+    co_return workers.CountRunsOn("worker-0") > 0 ? "worker-0" : "worker-1";
+  }
+
+  bool IsStoredAsSilent(const std::string& worker) const {
+    return store.Value(kWorkersTable, kSilentWorkersKey).find(worker) != std::string::npos;
+  }
+
+  void Run(std::function<asio::awaitable<void>()> work) {
+    asio::co_spawn(loop, work, [](const std::exception_ptr& failure) {
+      if (failure) std::rethrow_exception(failure);
+    });
+    loop.run();
+  }
+
+  memory_store store;
+  standin_workers workers;
+  asio::io_context loop;
+};
+
+}  // namespace
+
+// Guards against a job that stands still after a change of owner: the new owner assumed that its predecessor
+// had renewed the lease of a silent worker until the end of its authority.
+TEST_CASE("a new owner counts the silence that its predecessor saw", "[pool]") {
+  two_vm_fixture fixture;
+  owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    const std::string worker = co_await fixture.StartJob();
+    const auto silent_at = BootNow();
+    fixture.workers.unreachable.insert(worker);
+    const bool stored =
+        co_await WaitUntil([&] { return fixture.IsStoredAsSilent(worker); }, milliseconds(3500));
+    CHECK(stored);
+    first.Kill();
+    owner_vm second("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+    // The last lease is granted within a second and expires 3.3 s later. Counted from the takeover and the
+    // end of the authority it would be 6.7 s or more.
+    co_await WaitUntil([&] { return fixture.workers.starts > 1; }, milliseconds(8000));
+    const milliseconds waited = BootNow() - silent_at;
+    CHECK(waited > milliseconds(3000));
+    CHECK(waited < milliseconds(5500));
+    second.Kill();
+  });
+}
+
+// Guards against a wait that begins anew with each of several owners in a row.
+TEST_CASE("the silence of a worker outlasts an owner that was short", "[pool]") {
+  two_vm_fixture fixture;
+  owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    const std::string worker = co_await fixture.StartJob();
+    const auto silent_at = BootNow();
+    fixture.workers.unreachable.insert(worker);
+    const bool stored =
+        co_await WaitUntil([&] { return fixture.IsStoredAsSilent(worker); }, milliseconds(3500));
+    CHECK(stored);
+    first.Kill();
+    owner_vm second("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+    co_await WaitUntil([&] { return second.is_owner(); }, milliseconds(2000));
+    co_await transport::Sleep(milliseconds(800));
+    CHECK(fixture.IsStoredAsSilent(worker));
+    second.Kill();
+    owner_vm third("c", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+    co_await WaitUntil([&] { return fixture.workers.starts > 1; }, milliseconds(9000));
+    const milliseconds waited = BootNow() - silent_at;
+    CHECK(waited > milliseconds(3000));
+    CHECK(waited < milliseconds(6500));
+    third.Kill();
+  });
+}
+
+// Guards against granting a lease that the stored end of the leases does not cover: a later owner would start
+// the task a second time.
+TEST_CASE("a worker that replies again gets a lease only after its silence is removed", "[pool]") {
+  two_vm_fixture fixture;
+  owner_vm vm("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    const std::string worker = co_await fixture.StartJob();
+    const auto is_stored = [&] { return fixture.IsStoredAsSilent(worker); };
+    fixture.workers.unreachable.insert(worker);
+    const bool stored = co_await WaitUntil(is_stored, milliseconds(3500));
+    CHECK(stored);
+    int leases_while_stored = 0;
+    fixture.workers.on_lease = [&](const std::string& id) {
+      if (id == worker && is_stored()) ++leases_while_stored;
+    };
+    fixture.store.refused_table = kWorkersTable;
+    fixture.workers.unreachable.clear();
+    co_await transport::Sleep(milliseconds(600));
+    CHECK(leases_while_stored == 0);
+    fixture.store.refused_table.clear();
+    int leases = 0;
+    fixture.workers.on_lease = [&](const std::string& id) {
+      if (id != worker) return;
+      ++leases;
+      if (is_stored()) ++leases_while_stored;
+    };
+    const bool renewed = co_await WaitUntil([&] { return leases > 0; }, milliseconds(1000));
+    CHECK(renewed);
+    CHECK(leases_while_stored == 0);
+    vm.Kill();
+  });
+}
+
+// Guards against trusting a row that the direct predecessor did not write: it may run a program that grants
+// leases without regard to the row.
+TEST_CASE("an outdated record of silence is ignored", "[pool]") {
+  two_vm_fixture fixture;
+  owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    const std::string worker = co_await fixture.StartJob();
+    first.Kill();
+    fixture.store.ApplyNow(
+        {{}, {{kWorkersTable, kSilentWorkersKey, R"({"epoch":0,"expire_ms":{"worker-0":1,"worker-1":1}})"}}});
+    fixture.workers.unreachable.insert(worker);
+    owner_vm second("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+    const bool started = co_await WaitUntil([&] { return fixture.workers.starts > 1; }, milliseconds(2500));
+    CHECK_FALSE(started);
+    second.Kill();
+  });
+}
+
+}  // namespace hickorystall::tests
--- a/tests/coordination/pool/standin_workers.cpp
+++ b/tests/coordination/pool/standin_workers.cpp
@@ -67,7 +67,7 @@
 asio::awaitable<lists_reply> standin_workers::Renew(order_address address, std::int64_t acknowledged_end,
                                                     std::optional<worker_time> deadline, milliseconds wait,
                                                     milliseconds timeout) {
-  (void)deadline;
+  if (deadline && on_lease) on_lease(address.worker);
   lists_reply reply;
   if (failing.contains(address.worker)) throw std::runtime_error("malformed reply");
   if (unreachable.contains(address.worker)) {
--- a/tests/coordination/pool/standin_workers.h
+++ b/tests/coordination/pool/standin_workers.h
@@ -35,6 +35,8 @@
 
   /// Called with the task of each start before the start is executed.
   std::function<void(const std::string&)> on_start;
+  /// Called with the worker of each renewal that grants a lease.
+  std::function<void(const std::string&)> on_lease;
   /// Workers that do not reply. Their runs continue.
   std::set<std::string> unreachable;
   /// Signs of the processes of unreachable workers. A worker without an entry shows none.
