--- a/tests/node_soak/workload.py
+++ b/tests/node_soak/workload.py
@@ -148,6 +148,12 @@
         self.refuse_share = 0.0
         self.late_share = 0.0
         self.over_capacity = []
+        self.lapses = []  # When a lease was granted after the one before had lapsed.
+
+    def _extend(self, body):
+        if self.clock() >= self.deadline:
+            self.lapses.append(self.record.seconds())
+        super()._extend(body)
 
     def register(self, state="ready", **more):
         if not self.store.is_closed_to_executors:
