--- a/tests/node_soak/workload.py
+++ b/tests/node_soak/workload.py
@@ -33,6 +33,11 @@
     return share, sorted(jobs, key=lambda job: job.due_s)
 
 
+def make_late_jobs(rng, racks):
+    """Returns jobs that arrive after the last fault; their due times count from its end."""
+    return [_make_job(rng, due_s, racks, racks[:2]) for due_s in (0.5, 1.0, 2.0, 3.0, 4.5, 6.0)]
+
+
 def _make_job(rng, due_s, racks, hot_racks):
     kind = rng.choices(["single", "many", "two_steps", "gang"], [30, 20, 20, 30])[0]
     counts = {"single": [1], "many": [rng.randint(4, 24)],
