--- a/tests/node_soak/checker.py
+++ b/tests/node_soak/checker.py
@@ -1,4 +1,5 @@
 """Judges a run from what consumers, executors and the store saw."""
+import datetime
 import glob
 import os
 
@@ -7,6 +8,7 @@
 # Upper bound of the time for which a task may have to wait for the lease of an executor that is away without
 # a sign: the lease of 10 s, 2 % tolerance, the detection and the end of the former owner's authority.
 LEASE_WAIT_S = 14.0
+LEASE_CAUSES = {"unresolved_worker", "former_owner", "worker_unreachable", "stop_unconfirmed", "unaccounted_run"}
 MAX_ATTEMPTS = {"/exam/": 4, "/notice/": 3, "/batch/": 4}
 
 
@@ -64,6 +66,36 @@
         return sum(gpus // step["gpu"] for gpus in free) >= 2 * tasks
 
 
+class ConditionMonitor:
+    """Notes how many workers the owner considers unusable although they are registered and reply."""
+
+    CONDITIONS = ("not_recorded", "not_read", "unlisted")
+
+    def __init__(self):
+        self.samples = []  # (time, owner, {condition: workers})
+
+    def add(self, now, owner, metrics):
+        counts = {}
+        for line in metrics.splitlines():
+            if line.startswith("hickorystall_pool_workers{condition="):
+                name, value = line.split('"')[1], line.split()[-1]
+                counts[name] = int(value)
+        if counts:
+            self.samples.append((now, owner, counts))
+
+    def find_unused(self, calm_from_s):
+        """Returns a text if registered workers stay unusable for longer than a standing job may wait."""
+        findings = []
+        for condition in self.CONDITIONS[:2]:
+            late = [(now, owner, counts) for now, owner, counts in self.samples
+                    if now >= calm_from_s and counts.get(condition, 0) > 0]
+            if late and late[-1][0] - late[0][0] >= STANDING_S:
+                findings.append("UNUSED: %d workers are %s for the owner %s from %.1f to %.1f, %s" % (
+                    max(entry[2][condition] for entry in late), condition, late[-1][1], late[0][0], late[-1][0],
+                    late[-1][2]))
+        return findings
+
+
 def wait_records(folder, job_id):
     """Returns the `job waits` records of all nodes for the job."""
     return _grep(folder, ["job waits id=" + job_id])
@@ -81,28 +113,39 @@
     return sorted(found)
 
 
-def find_standing_jobs(system, monitor, calm_from_s):
-    """Returns (is_grave, text) of each wait of 3 s or more since `calm_from_s`."""
+def find_standing_jobs(system, monitor, calm_from_s, finish_s):
+    """Returns (is_grave, text) of each wait of 3 s or more since `calm_from_s`.
+
+    A wait for the lease of an executor that is away without a sign is unavoidable for a bounded time. It is not
+    grave unless it lasts longer, or for 3 s at `finish_s`, when the rule asks for the jobs.
+    """
     findings = []
-    for job_id, begin, end in monitor.waits:
-        begin = max(begin, calm_from_s)
+    for job_id, since, end in monitor.waits:
+        begin = max(since, calm_from_s)
         if end - begin < STANDING_S:
             continue
-        records = wait_records(system.folder, job_id)
+        records = [line for line in wait_records(system.folder, job_id) if _is_between(system, line, begin, end + 1)]
         causes = sorted({field[6:] for line in records for field in line.split() if field.startswith("cause=")})
-        is_lease_wait = end < calm_from_s - CALM_AFTER_S + LEASE_WAIT_S and causes and set(causes) <= {
-            "unresolved_worker", "former_owner", "worker_unreachable", "stop_unconfirmed"}
+        is_lease_wait = bool(causes) and set(causes) <= LEASE_CAUSES and end - since < LEASE_WAIT_S
+        is_at_finish = end - max(begin, finish_s) >= STANDING_S
         job = system.workload.jobs[job_id]
-        findings.append((not is_lease_wait,
-                         "%s: job %s %s had nothing running from %.1f to %.1f (%.1f s, last fault ended at %.1f), "
+        findings.append((not is_lease_wait or is_at_finish,
+                         "%s: job %s %s had nothing running from %.1f to %.1f (%.1f s; last fault ended at %.1f), "
                          "causes=%s steps=%s" % (
-                             "lease wait" if is_lease_wait else "STANDING", job_id, job.prefix, begin, end,
-                             end - begin, calm_from_s - CALM_AFTER_S, ",".join(causes) or "none logged",
+                             "STANDING AT FINISH" if is_at_finish else "lease wait" if is_lease_wait else "STANDING",
+                             job_id, job.prefix, since, end, end - since, calm_from_s - CALM_AFTER_S,
+                             ",".join(causes) or "none logged",
                              [{k: v for k, v in s.items() if k not in ("cpu", "memMb")} for s in job.steps])
                          + "".join("\n      " + line for line in records)))
     return findings
 
 
+def _is_between(system, line, begin_s, end_s):
+    """Returns whether a log record was written between two times of the run."""
+    written = datetime.datetime.fromisoformat(line.split()[0].replace("Z", "+00:00")).timestamp()
+    return begin_s <= written - system.begin_unix_s <= end_s
+
+
 def find_double_runs(system):
     """Returns texts for two runs of one task at once, and for starts after an acknowledged `done`."""
     findings = []
--- a/tests/node_soak/fault_schedule.py
+++ b/tests/node_soak/fault_schedule.py
@@ -141,7 +141,8 @@
         outage = asyncio.ensure_future(self._store_fault(
             self.rng.choice(["read_only", "lossy"]), self.rng.uniform(0.5, 3.0), self._some_nodes()))
         await asyncio.sleep(self.rng.uniform(0.0, 0.4))
-        lapsing = [e for e in self.system.executors if e.up and self.rng.random() < 0.9]
+        share = self.rng.choice([0.9, 1.0])
+        lapsing = [e for e in self.system.executors if e.up and self.rng.random() < share]
         for executor in lapsing:
             self.system.store.drop("servers", executor.name)
         base, spread = self.rng.uniform(0.05, 0.9), self.rng.choice([0.0, 0.3, 1.0])
--- a/tests/node_soak/soak.py
+++ b/tests/node_soak/soak.py
@@ -30,6 +30,7 @@
 # Time for which jobs that are unfinished after the calm time are watched further: `finish_s` after the end of
 # the traffic a job must not stand for 3 s.
 EXTRA_S = 4.0
+FINISH_S = 14.0
 SAMPLE_S = 0.1
 # A run during which the soak's own event loop stood still for longer cannot be judged.
 MAX_LAG_S = 1.0
@@ -59,6 +60,7 @@
         self.workload = Workload(random.Random(rng.random()))
         self.random = random.Random(rng.random())
         self.failed_ids = set()
+        self.begin_unix_s = time.time() - record.seconds()
 
     def put_config(self):
         super().put_config()
@@ -156,6 +158,34 @@
     await asyncio.gather(*calls)
 
 
+async def read_metrics(port):
+    """Returns the text of /metrics; empty if there is no reply."""
+    try:
+        return await asyncio.wait_for(_read_metrics(port), 1.0)
+    except (asyncio.TimeoutError, OSError, asyncio.IncompleteReadError):
+        return ""
+
+
+async def _read_metrics(port):
+    reader, writer = await asyncio.open_connection(standins.HOST, port)
+    try:
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+        _, _, body = await standins.read_message(reader)
+        return body.decode()
+    finally:
+        writer.close()
+
+
+async def follow_conditions(system, conditions):
+    while True:
+        await asyncio.sleep(1.0)
+        owner = system.owner_name()
+        for node in system.nodes:
+            if node.name == owner:
+                conditions.add(system.record.seconds(), owner,
+                               await read_metrics(node.settings["portRange"][0]))
+
+
 async def monitor_loop(system, monitor):
     ended_asking = 0.0
     while True:
@@ -170,7 +200,7 @@
 
 
 async def run_seed(options, seed, folder):
-    """Returns (is_judged, grave findings, lease waits, text of the summary)."""
+    """Returns (is_judged, grave findings, waits for a lease, text of the summary)."""
     rng = random.Random(seed)
     record = standins.Record(os.path.join(folder, "record.txt"))
     record("soak", "seed %d begins at %.3f" % (seed, time.time()))
@@ -190,6 +220,8 @@
             executors, nodes, share, len(jobs), [(round(t, 1), n) for t, n in plan]))
         monitor = checker.StandingMonitor(system)
         watching = asyncio.ensure_future(monitor_loop(system, monitor))
+        conditions = checker.ConditionMonitor()
+        following = asyncio.ensure_future(follow_conditions(system, conditions))
         begin_s = record.seconds()
         await asyncio.gather(submit_all(system, jobs, begin_s), faults.run(begin_s, plan))
         last_fault_s = max(faults.last_end_s, begin_s + options.traffic_s)
@@ -199,12 +231,15 @@
         if await system.ask_unfinished() > 0:
             await asyncio.sleep(EXTRA_S)
         watching.cancel()
+        following.cancel()
         ended_s = record.seconds()
         monitor.finish(ended_s)
         states = {job.id: await system.ask_state(job) for job in system.accepted_jobs()}
-        standing = checker.find_standing_jobs(system, monitor, faults.last_end_s + checker.CALM_AFTER_S)
+        standing = checker.find_standing_jobs(system, monitor, faults.last_end_s + checker.CALM_AFTER_S,
+                                              begin_s + options.traffic_s + FINISH_S)
         grave = [text for is_grave, text in standing if is_grave]
         grave += checker.find_double_runs(system) + checker.find_unfinished_jobs(system, states, ended_s)
+        grave += conditions.find_unused(faults.last_end_s + checker.CALM_AFTER_S)
         waits = [text for is_grave, text in standing if not is_grave]
         summary = "seed %d: %d executors, %d nodes, share %.2f, %d of %d jobs accepted, %d ended failed, faults %s, " \
                   "lag %.2f s" % (seed, executors, nodes, share, len(system.accepted_jobs()), len(jobs),
