--- a/tests/node_soak/soak.py
+++ b/tests/node_soak/soak.py
@@ -24,7 +24,7 @@
 import standins  # noqa: E402
 from fault_schedule import FaultSchedule  # noqa: E402
 from store_faults import FaultyStore  # noqa: E402
-from workload import SoakExecutor, Workload, make_jobs, make_late_jobs  # noqa: E402
+from workload import SoakExecutor, Workload, make_hot_rack_jobs, make_jobs, make_late_jobs  # noqa: E402
 
 CALM_S = 14.0
 # Time for which jobs that are unfinished after the calm time are watched further: `finish_s` after the end of
@@ -214,6 +214,8 @@
         rack_names = sorted({e.rack for e in system.executors})
         share, jobs = make_jobs(rng, options.traffic_s, executors * 8, rack_names)
         late_jobs = make_late_jobs(rng, rack_names)
+        if options.hot_rack:
+            late_jobs = make_hot_rack_jobs(rng, rack_names[-1], 64) + late_jobs
         faults = FaultSchedule(system, rng)
         plan = faults.plan(options.traffic_s, options.faults)
         record("soak", "executors %d nodes %d share %.2f jobs %d plan %s" % (
@@ -309,6 +311,8 @@
     parser.add_argument("--keep", action="store_true", help="keeps the logs of all seeds")
     parser.add_argument("--faults", nargs="*", choices=list(FaultSchedule.WEIGHTS), help="only these faults")
     parser.add_argument("--short", action="store_true", help="48 executors and 8 s of traffic")
+    parser.add_argument("--hot-rack", action="store_true",
+                        help="after the last fault more jobs have their data in one rack than fit there")
     options = parser.parse_args()
     options.traffic_s = 8.0 if options.short else 20.0
     SoakNode.program = os.path.abspath(options.program)
@@ -319,6 +323,7 @@
     arguments = ["--program", options.program, "--logs", options.logs]
     arguments += ["--keep"] if options.keep else []
     arguments += ["--short"] if options.short else []
+    arguments += ["--hot-rack"] if options.hot_rack else []
     arguments += ["--faults"] + options.faults if options.faults else []
     sys.exit(run_many(options, range(int(first), int(last or first) + 1), arguments))
 
--- a/tests/node_soak/workload.py
+++ b/tests/node_soak/workload.py
@@ -38,6 +38,17 @@
     return [_make_job(rng, due_s, racks, racks[:2]) for due_s in (0.5, 1.0, 2.0, 3.0, 4.5, 6.0)]
 
 
+def make_hot_rack_jobs(rng, rack, gpus_of_rack):
+    """Returns jobs with their data in one rack that need one and a half times its GPUs, for longer than a job may
+    stand; they are due at once."""
+    jobs = []
+    for _ in range(gpus_of_rack * 3 // 2 // 8):
+        seconds = rng.uniform(8, 10)
+        step = {"count": 8, "cpu": 1000, "memMb": 1024, "gpu": 1, "estimateMs": int(1000 * seconds), "dataRack": rack}
+        jobs.append(Job("%016x" % rng.getrandbits(64), 0.0, "/exam/", "tenant-b", [step], [seconds], 0.0))
+    return jobs
+
+
 def _make_job(rng, due_s, racks, hot_racks):
     kind = rng.choices(["single", "many", "two_steps", "gang"], [30, 20, 20, 30])[0]
     counts = {"single": [1], "many": [rng.randint(4, 24)],
