--- a/tests/node_soak/workload.py
+++ b/tests/node_soak/workload.py
@@ -39,11 +39,11 @@
 
 
 def make_hot_rack_jobs(rng, rack, gpus_of_rack):
-    """Returns jobs with their data in one rack that need one and a half times its GPUs, for longer than a job may
+    """Returns jobs with their data in one rack that need two and a half times its GPUs, for longer than a job may
     stand; they are due at once."""
     jobs = []
-    for _ in range(gpus_of_rack * 3 // 2 // 8):
-        seconds = rng.uniform(8, 10)
+    for _ in range(gpus_of_rack * 5 // 2 // 8):
+        seconds = rng.uniform(10, 11)
         step = {"count": 8, "cpu": 1000, "memMb": 1024, "gpu": 1, "estimateMs": int(1000 * seconds), "dataRack": rack}
         jobs.append(Job("%016x" % rng.getrandbits(64), 0.0, "/exam/", "tenant-b", [step], [seconds], 0.0))
     return jobs
