Call an unregistered worker at its stored address after a takeover

Cause: after the workers of the stored list, LoadWorkers added every worker that a job's row names once more, without an address. For a worker whose registration had lapsed this replaced the address just read, so the new owner could not call it, waited for its lease, and stored the empty address for later owners.

Change: only workers that the list does not name are added without an address.

--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -215,7 +215,9 @@
   for (const auto& [id, address] : addresses) state_.AddRecordedWorker(id, address, bound_of(id));
   state_.SetRecordedWorkers(std::move(addresses));
   // Workers are recorded before their first order, so the row already names these unless it was unreadable.
-  for (const std::string& id : state_.UnresolvedWorkers()) state_.AddRecordedWorker(id, "", bound_of(id));
+  for (const std::string& id : state_.UnresolvedWorkers()) {
+    if (!state_.recorded_workers().contains(id)) state_.AddRecordedWorker(id, "", bound_of(id));
+  }
   state_.HoldRecordedStarts(authority_end);
   state_.AwaitFirstReplies();
   co_return true;
--- a/tests/coordination/pool/silent_worker_test.cpp
+++ b/tests/coordination/pool/silent_worker_test.cpp
@@ -183,6 +183,24 @@
   });
 }
 
+// Guards against losing the address of a worker whose registration lapsed while it runs a task: the next
+// owner could not call it and waited for its lease.
+TEST_CASE("a new owner calls an unregistered worker at its stored address", "[pool]") {
+  two_vm_fixture fixture;
+  owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    const std::string worker = co_await fixture.StartJob();
+    fixture.store.ApplyNow({{}, {{kRegistryTable, worker, std::nullopt}}});
+    co_await transport::Sleep(milliseconds(300));
+    first.Kill();
+    fixture.workers.endpoints.clear();
+    owner_vm second("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+    co_await WaitUntil([&] { return fixture.workers.endpoints.contains(worker); }, milliseconds(3000));
+    CHECK(fixture.workers.endpoints[worker] == "127.0.0.1:1");
+    second.Kill();
+  });
+}
+
 // Guards against trusting a row that the direct predecessor did not write: it may run a program that grants
 // leases without regard to the row.
 TEST_CASE("an outdated record of silence is ignored", "[pool]") {
--- a/tests/coordination/pool/standin_workers.cpp
+++ b/tests/coordination/pool/standin_workers.cpp
@@ -68,6 +68,7 @@
                                                     std::optional<worker_time> deadline, milliseconds wait,
                                                     milliseconds timeout) {
   if (deadline && on_lease) on_lease(address.worker);
+  endpoints[address.worker] = address.endpoint;
   lists_reply reply;
   if (failing.contains(address.worker)) throw std::runtime_error("malformed reply");
   if (unreachable.contains(address.worker)) {
--- a/tests/coordination/pool/standin_workers.h
+++ b/tests/coordination/pool/standin_workers.h
@@ -43,6 +43,8 @@
   std::map<std::string, coordination::pool::process_sign> signs;
   /// Workers for which each call fails with an exception.
   std::set<std::string> failing;
+  /// Endpoint of the latest renewal of each worker.
+  std::map<std::string, std::string> endpoints;
   /// Number of executed starts.
   int starts = 0;
 
