Send no start to a worker that has stopped replying

What callers saw: a job that stands still for the whole lease of a silent worker, longer than that worker's other runs.

Cause: a start waits for its record to be stored. When its worker stopped replying meanwhile, SendStart still granted a lease and sent the order, so the lease bound moved on and the task waited for it.

Change: such a start is refused before it is sent, and the task is placed anew.

Result: the test passes.

--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -150,7 +150,8 @@
   const boot_time retry_end = BootNow() + state_.settings().gang_timeout;
   const worker_entry* worker = state_.FindWorker(order.worker);
   // The worker may have given notice or stopped replying while the start was being stored.
-  if (worker == nullptr || !MayOrder() || worker->registration.draining || worker->lease_frozen) {
+  if (worker == nullptr || !MayOrder() || worker->registration.draining || !worker->reachable ||
+      worker->lease_frozen) {
     state_.HandleStartReply(order.task, order.run, start_reply::kRefused, BootNow());
     co_return;
   }
--- a/tests/coordination/pool/silent_worker_test.cpp
+++ b/tests/coordination/pool/silent_worker_test.cpp
@@ -183,6 +183,33 @@
   });
 }
 
+// Guards against a start that is sent to a worker after it has stopped replying: its lease would be extended,
+// and the task could not start elsewhere until then.
+TEST_CASE("a start is not sent to a worker that has stopped replying", "[pool]") {
+  two_vm_fixture fixture;
+  owner_vm vm("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    co_await WaitUntil([&] { return vm.is_owner(); }, milliseconds(2000));
+    co_await transport::Sleep(milliseconds(100));
+    // The start is planned, but its record is not stored until the worker is known to be silent.
+    fixture.store.refused_table = kProgressTable;
+    SubmitJob(fixture.store);
+    const auto is_called = [&] { return fixture.workers.endpoints.size() > 0; };
+    fixture.workers.endpoints.clear();
+    co_await WaitUntil(is_called, milliseconds(2000));
+    CHECK(is_called());
+    const std::string worker = fixture.workers.endpoints.begin()->first;
+    fixture.workers.unreachable.insert(worker);
+    co_await transport::Sleep(milliseconds(2700));
+    const auto stored_at = BootNow();
+    fixture.store.refused_table.clear();
+    const bool started = co_await WaitUntil([&] { return fixture.workers.starts > 0; }, milliseconds(2000));
+    CHECK(started);
+    CHECK(BootNow() - stored_at < milliseconds(2000));
+    vm.Kill();
+  });
+}
+
 // Guards against losing the address of a worker whose registration lapsed while it runs a task: the next
 // owner could not call it and waited for its lease.
 TEST_CASE("a new owner calls an unregistered worker at its stored address", "[pool]") {
