Count a former owner's authority from its last renewal

Cause: a new owner added the former owner's authority to the time of its own takeover. The authority counts from the sending of the last applied renewal, at least the takeover timeout of 1.1 s earlier, and more after an outage of the store.

Change: the authority ends at the latest 3.5 s after the new owner first read the present version of the lease row, plus 200 ms for the clocks. The row was sent before it was read, and the takeover depends on its version. That time is kept apart from unchanged_since_, which failed reads move.

One check of 'an unreachable store does not count as a missing renewal' required a bound later than the authority can last (it passed only since the outage was counted too). It is replaced by checks from both sides.

--- a/src/coordination/pool/ownership.cpp
+++ b/src/coordination/pool/ownership.cpp
@@ -68,7 +68,10 @@
     seen_.epoch = epoch.is_number_integer() ? epoch.get<std::int64_t>() : 0;
     seen_.epoch_version = row.removed ? 0 : row.version;
   } else if (row.key == kLeaseKey) {
-    if (row.version != seen_.lease_version) unchanged_since_ = BootNow();
+    if (row.version != seen_.lease_version) {
+      unchanged_since_ = BootNow();
+      seen_.lease_seen_at = unchanged_since_;
+    }
     const auto text = [&field](const char* name) {
       const json entry = field(name);
       return entry.is_string() ? entry.get<std::string>() : std::string();
@@ -111,6 +114,12 @@
   return seen_.vm == settings_.instance && seen_.address == settings_.address;
 }
 
+// The row was sent before it was first read, so counting from the latter can only be too late. The takeover
+// depends on the row's version: a renewal that this VM has not seen makes it fail.
+boot_time ownership::LatestEnd(milliseconds left) const {
+  return seen_.lease_seen_at + left + settings_.margin;
+}
+
 bool ownership::MayTakeOver() const {
   if (!position_) return false;
   return HasHolderEnded() || BootNow() - unchanged_since_ >= settings_.takeover_timeout;
@@ -170,13 +179,13 @@
   epoch_version_ = result.version;
   lease_version_ = result.version;
   confirmed_at_ = sent_at;
-  predecessor_authority_end_ = BootNow();
-  if (!holder_has_ended) predecessor_authority_end_ += settings_.authority + settings_.margin;
+  predecessor_authority_end_ = holder_has_ended ? sent_at : LatestEnd(settings_.authority);
   log_.Write("ownership", "gained",
              {{"epoch", std::to_string(epoch_)},
               {"previous", seen_.holder.empty() ? "none" : seen_.holder},
               {"previous_ended", holder_has_ended ? "yes" : "unknown"},
-              {"unchanged_ms", std::to_string((BootNow() - unchanged_since_).count())}});
+              {"unchanged_ms", std::to_string((BootNow() - unchanged_since_).count())},
+              {"authority_left_ms", std::to_string((predecessor_authority_end_ - BootNow()).count())}});
   if (listener_) listener_(true);
 }
 
--- a/src/coordination/pool/ownership.h
+++ b/src/coordination/pool/ownership.h
@@ -70,7 +70,8 @@
   /// Version of the epoch's row, on which the owner's writes are conditional.
   std::int64_t epoch_version() const { return epoch_version_; }
   /// Time until which the former owner may send orders; the time of the takeover when the former owner is
-  /// known to have ended.
+  /// known to have ended. Counted from the time at which this VM first saw the former owner's last renewal,
+  /// which is not before that renewal was sent.
   state::pool::boot_time predecessor_authority_end() const { return predecessor_authority_end_; }
   /// Time at which the last applied renewal was sent. No other VM was the owner then.
   state::pool::boot_time confirmed_at() const { return confirmed_at_; }
@@ -93,6 +94,8 @@
     std::int64_t epoch = 0;
     std::int64_t epoch_version = 0;
     std::int64_t lease_version = 0;
+    // When this version of the lease row was first read. Reads that fail do not change it.
+    state::pool::boot_time lease_seen_at{};
     // Incarnation, VM and address of the process that holds the lease; empty when it was released.
     std::string holder;
     std::string vm;
@@ -110,6 +113,9 @@
   bool MayTakeOver() const;
   // True when nobody holds the lease, or its holder is an earlier incarnation on this VM.
   bool HasHolderEnded() const;
+  // Upper bound on this VM's clock for the end of a time that was `left` when the writer of the lease row
+  // sent it.
+  state::pool::boot_time LatestEnd(std::chrono::milliseconds left) const;
   std::string LeaseValue(std::int64_t epoch) const;
   boost::asio::awaitable<bool> WaitForPreferredVms();
 
--- a/tests/coordination/pool/ownership_test.cpp
+++ b/tests/coordination/pool/ownership_test.cpp
@@ -96,6 +96,7 @@
       {},
       {{kOwnershipTable, kEpochKey, R"({"epoch":4})"},
        {kOwnershipTable, kLeaseKey, R"({"holder":"x","vm":"x","address":"x:1","epoch":4})"}}};
+  const boot_time written_at = BootNow();
   store.ApplyNow(lease);
   ownership other(store, Log(), Settings("b", "b1"));
   RunWith({&other}, [&]() -> asio::awaitable<void> {
@@ -107,8 +108,44 @@
     CHECK_FALSE(other.is_owner());
     co_await transport::Sleep(milliseconds(400));
     CHECK(other.epoch() == 5);
-    // The former owner may still send orders until its authority ends.
-    CHECK(other.predecessor_authority_end() > BootNow() - milliseconds(400));
+    // The former owner may still send orders until its authority ends. Its last renewal was sent before it
+    // was written, however long the store was away afterwards.
+    const ownership_settings former = Settings("x", "x1");
+    CHECK(other.predecessor_authority_end() >= written_at + former.authority);
+    CHECK(other.predecessor_authority_end() <
+          written_at + former.authority + former.margin + milliseconds(150));
+  });
+}
+
+// Guards against recorded starts that wait longer than the former owner can send orders: its authority was
+// counted from the takeover instead of from its last renewal.
+TEST_CASE("a takeover counts the authority of a silent owner from its last renewal", "[pool]") {
+  memory_store store;
+  ownership_settings settings = Settings("b", "b1");
+  settings.takeover_timeout = milliseconds(400);
+  settings.authority = milliseconds(600);
+  bool is_standby = false;
+  SECTION("a VM that follows the lease") {}
+  SECTION("a standby VM") { is_standby = true; }
+  settings.standby_delay = milliseconds(50);
+  ownership other(store, Log(), settings);
+  other.SetStandby(is_standby);
+  RunWith({&other}, [&]() -> asio::awaitable<void> {
+    boot_time written_at{};
+    // The former owner renews its lease twice and then falls silent.
+    for (int i = 0; i < 3; ++i) {
+      written_at = BootNow();
+      store.ApplyNow({{},
+                      {{kOwnershipTable, kEpochKey, R"({"epoch":4})"},
+                       {kOwnershipTable, kLeaseKey, R"({"holder":"x","vm":"x","address":"x:1","epoch":4})"}}});
+      co_await transport::Sleep(milliseconds(100));
+    }
+    co_await transport::Sleep(milliseconds(600));
+    CHECK(other.epoch() == 5);
+    CHECK(other.predecessor_authority_end() >= written_at + settings.authority);
+    // A standby VM reads the lease only every 50 ms.
+    CHECK(other.predecessor_authority_end() <
+          written_at + settings.authority + settings.margin + milliseconds(250));
   });
 }
 
