Keep an earlier owner's authority across its successor's end

What callers could see: two runs of one task.

Cause: a VM that takes over a released lease, or one that its own earlier incarnation holds, assumed that no former owner may order any more. That is known of the holder only. The owner before it may be cut off from the store, not from the workers, and orders for up to 3.5 s after its last renewal. When its successor handed over, restarted or lost the reply to its takeover within that time, the next owner started units that the first owner could still start or renew on workers that only the first reached, and its bound for their leases was up to 2.4 s too short.

Change: the lease row holds for how long owners before its holder could still order when the row was written. A new owner adds this to the time at which it first read the row, and waits for the latest end. Rows without the field count as before.

Evidence: 'the authority of an owner outlasts the ownership of its successor' failed without the change in all three sections (hand-over, restart, lost reply) and passes with it.

--- a/src/coordination/pool/ownership.cpp
+++ b/src/coordination/pool/ownership.cpp
@@ -1,5 +1,6 @@
 #include "coordination/pool/ownership.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -21,6 +22,12 @@
 // Pause after a failed call.
 constexpr milliseconds kRetryPause{150};
 
+// Returns the time from now until `end` as it is written into the lease row: a reader adds it to the time at
+// which it reads the row.
+std::int64_t MillisecondsUntil(boot_time end) {
+  return std::max(milliseconds(0), end - BootNow()).count();
+}
+
 }  // namespace
 
 ownership::ownership(pool_store& store, event_log& log, ownership_settings settings)
@@ -48,11 +55,12 @@
   ended_ = true;
 }
 
-std::string ownership::LeaseValue(std::int64_t epoch) const {
+std::string ownership::LeaseValue(std::int64_t epoch, boot_time former_authority_end) const {
   return json{{"holder", settings_.incarnation},
               {"vm", settings_.instance},
               {"address", settings_.address},
-              {"epoch", epoch}}
+              {"epoch", epoch},
+              {"earlier_authority_ms", MillisecondsUntil(former_authority_end)}}
       .dump();
 }
 
@@ -80,6 +88,8 @@
     seen_.vm = text("vm");
     seen_.address = text("address");
     seen_.successor = text("successor");
+    const json earlier = field("earlier_authority_ms");
+    seen_.earlier_authority = milliseconds(earlier.is_number_integer() ? earlier.get<std::int64_t>() : 0);
     seen_.lease_version = row.removed ? 0 : row.version;
   }
 }
@@ -120,6 +130,13 @@
   return seen_.lease_seen_at + left + settings_.margin;
 }
 
+// The holder's end does not end the authority of an owner before it, which may be cut off from the store only.
+boot_time ownership::FormerAuthorityEnd(boot_time now) const {
+  const boot_time holder_end = HasHolderEnded() ? now : LatestEnd(settings_.authority);
+  if (seen_.earlier_authority <= milliseconds(0)) return holder_end;
+  return std::max(holder_end, LatestEnd(seen_.earlier_authority));
+}
+
 bool ownership::MayTakeOver() const {
   if (!position_) return false;
   return HasHolderEnded() || BootNow() - unchanged_since_ >= settings_.takeover_timeout;
@@ -155,13 +172,14 @@
   }
   const bool holder_has_ended = HasHolderEnded();
   const boot_time sent_at = BootNow();
+  const boot_time former_authority_end = FormerAuthorityEnd(sent_at);
   const std::int64_t epoch = seen_.epoch + 1;
   store_transaction transaction;
   transaction.conditions = {{kOwnershipTable, kEpochKey, seen_.epoch_version},
                             {kOwnershipTable, kLeaseKey, seen_.lease_version}};
   const std::string epoch_value = json{{"epoch", epoch}, {"holder", settings_.incarnation}}.dump();
   transaction.changes = {{kOwnershipTable, kEpochKey, epoch_value},
-                         {kOwnershipTable, kLeaseKey, LeaseValue(epoch)}};
+                         {kOwnershipTable, kLeaseKey, LeaseValue(epoch, former_authority_end)}};
   // All epoch rows are written in one transaction, so they have the same version.
   for (const std::string_view partition : kJobPartitions) {
     transaction.changes.push_back({kOwnershipTable, kEpochKey, epoch_value, std::string(partition)});
@@ -179,7 +197,7 @@
   epoch_version_ = result.version;
   lease_version_ = result.version;
   confirmed_at_ = sent_at;
-  predecessor_authority_end_ = holder_has_ended ? sent_at : LatestEnd(settings_.authority);
+  predecessor_authority_end_ = former_authority_end;
   log_.Write("ownership", "gained",
              {{"epoch", std::to_string(epoch_)},
               {"previous", seen_.holder.empty() ? "none" : seen_.holder},
@@ -195,7 +213,7 @@
   store_transaction transaction;
   transaction.conditions = {{kOwnershipTable, kEpochKey, epoch_version_},
                             {kOwnershipTable, kLeaseKey, lease_version_}};
-  transaction.changes = {{kOwnershipTable, kLeaseKey, LeaseValue(epoch_)}};
+  transaction.changes = {{kOwnershipTable, kLeaseKey, LeaseValue(epoch_, predecessor_authority_end_)}};
   const transaction_result result = co_await store_.Apply(std::move(transaction), kReplyTimeout);
   if (!is_owner()) co_return;
   if (result.outcome == transaction_outcome::kDone) {
@@ -245,8 +263,11 @@
   if (listener_) listener_(false);
   store_transaction transaction;
   transaction.conditions = {{kOwnershipTable, kEpochKey, epoch_version_}};
-  transaction.changes = {
-      {kOwnershipTable, kLeaseKey, json{{"holder", ""}, {"epoch", epoch}, {"successor", successor}}.dump()}};
+  const json value{{"holder", ""},
+                   {"epoch", epoch},
+                   {"successor", successor},
+                   {"earlier_authority_ms", MillisecondsUntil(predecessor_authority_end_)}};
+  transaction.changes = {{kOwnershipTable, kLeaseKey, value.dump()}};
   const transaction_result result = co_await store_.Apply(std::move(transaction), kReplyTimeout);
   log_.Write("ownership", "released",
              {{"epoch", std::to_string(epoch)},
--- a/src/coordination/pool/ownership.h
+++ b/src/coordination/pool/ownership.h
@@ -69,9 +69,9 @@
   std::int64_t epoch() const { return epoch_; }
   /// Version of the epoch's row, on which the owner's writes are conditional.
   std::int64_t epoch_version() const { return epoch_version_; }
-  /// Time until which the former owner may send orders; the time of the takeover when the former owner is
-  /// known to have ended. Counted from the time at which this VM first saw the former owner's last renewal,
-  /// which is not before that renewal was sent.
+  /// Time until which any former owner may send orders; the time of the takeover when all are known to have
+  /// ended. Counted from the time at which this VM first saw the former owner's last renewal, which is not
+  /// before that renewal was sent. Owners before that one are covered by what the renewal says about them.
   state::pool::boot_time predecessor_authority_end() const { return predecessor_authority_end_; }
   /// Time at which the last applied renewal was sent. No other VM was the owner then.
   state::pool::boot_time confirmed_at() const { return confirmed_at_; }
@@ -96,6 +96,8 @@
     std::int64_t lease_version = 0;
     // When this version of the lease row was first read. Reads that fail do not change it.
     state::pool::boot_time lease_seen_at{};
+    // Time for which owners before the holder of the lease could still send orders when the row was written.
+    std::chrono::milliseconds earlier_authority{0};
     // Incarnation, VM and address of the process that holds the lease; empty when it was released.
     std::string holder;
     std::string vm;
@@ -116,7 +118,10 @@
   // Upper bound on this VM's clock for the end of a time that was `left` when the writer of the lease row
   // sent it.
   state::pool::boot_time LatestEnd(std::chrono::milliseconds left) const;
-  std::string LeaseValue(std::int64_t epoch) const;
+  // Time until which former owners may send orders if this VM takes over now.
+  state::pool::boot_time FormerAuthorityEnd(state::pool::boot_time now) const;
+  // Value of the lease row for this VM as the holder. `former_authority_end` as above.
+  std::string LeaseValue(std::int64_t epoch, state::pool::boot_time former_authority_end) const;
   boost::asio::awaitable<bool> WaitForPreferredVms();
 
   pool_store& store_;
--- a/tests/coordination/pool/ownership_test.cpp
+++ b/tests/coordination/pool/ownership_test.cpp
@@ -149,6 +149,53 @@
   });
 }
 
+// Guards against two runs of one task: an owner that was cut off from the store was forgotten as soon as its
+// successor released the lease, restarted or lost the reply to its takeover, although it could still order.
+TEST_CASE("the authority of an owner outlasts the ownership of its successor", "[pool]") {
+  memory_store store;
+  const auto with_authority = [](const std::string& vm, const std::string& incarnation) {
+    ownership_settings settings = Settings(vm, incarnation);
+    settings.authority = milliseconds(1000);
+    return settings;
+  };
+  const boot_time written_at = BootNow();
+  store.ApplyNow({{},
+                  {{kOwnershipTable, kEpochKey, R"({"epoch":4})"},
+                   {kOwnershipTable, kLeaseKey, R"({"holder":"x","vm":"x","address":"x:1","epoch":4})"}}});
+  ownership successor(store, Log(), with_authority("b", "b1"));
+  ownership restarted(store, Log(), with_authority("b", "b2"));
+  ownership named(store, Log(), with_authority("c", "c1"));
+  ownership* last = nullptr;
+  RunWith({&successor}, [&]() -> asio::awaitable<void> {
+    const auto executor = co_await asio::this_coro::executor;
+    SECTION("a hand-over") {
+      co_await transport::Sleep(milliseconds(150));
+      CHECK(successor.epoch() == 5);
+      successor.RequestHandover("c");
+      asio::co_spawn(executor, named.Run(), asio::detached);
+      last = &named;
+    }
+    SECTION("a restart") {
+      co_await transport::Sleep(milliseconds(150));
+      CHECK(successor.epoch() == 5);
+      successor.Lose("killed");
+      successor.Stop();
+      asio::co_spawn(executor, restarted.Run(), asio::detached);
+      last = &restarted;
+    }
+    SECTION("a lost reply") {
+      store.lost_replies = 1;
+      last = &successor;
+    }
+    co_await transport::Sleep(milliseconds(400));
+    CHECK(last->epoch() == 6);
+    CHECK(last->predecessor_authority_end() >= written_at + milliseconds(1000));
+    CHECK(last->predecessor_authority_end() < written_at + milliseconds(1300));
+    named.Stop();
+    restarted.Stop();
+  });
+}
+
 // Guards against seconds without starts after all VMs were restarted: the earlier incarnation on this VM has
 // ended.
 TEST_CASE("a restarted process takes over from itself at once", "[pool]") {
