--- a/tests/coordination/pool/memory_store.cpp
+++ b/tests/coordination/pool/memory_store.cpp
@@ -1,5 +1,6 @@
 #include "coordination/pool/memory_store.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -22,6 +23,7 @@
                          ? stored_row{condition.table, condition.key, "", 0, false, condition.partition}
                          : found->second;
     holds = holds && row.version == condition.version;
+    if (found == rows_.end() && omits_absent_rows) continue;
     result.current.push_back(std::move(row));
   }
   if (!holds) {
@@ -46,6 +48,17 @@
   return result;
 }
 
+bool memory_store::IsOversized(const store_transaction& transaction) const {
+  std::size_t sum = 0;
+  std::size_t largest = 0;
+  for (const row_change& change : transaction.changes) {
+    const std::size_t size = change.value.value_or("").size();
+    sum += size;
+    largest = std::max(largest, size);
+  }
+  return (row_limit > 0 && largest > row_limit) || (call_limit > 0 && sum > call_limit);
+}
+
 asio::awaitable<transaction_result> memory_store::Apply(store_transaction transaction, milliseconds timeout) {
   ++writes;
   (void)timeout;
@@ -60,6 +73,12 @@
     refused.outcome = transaction_outcome::kNotDone;
     co_return refused;
   }
+  if (IsOversized(transaction)) {
+    ++oversized;
+    transaction_result refused;
+    refused.outcome = transaction_outcome::kNotDone;
+    co_return refused;
+  }
   if (late_writes > 0 && (late_table.empty() || transaction.changes.front().table == late_table)) {
     --late_writes;
     delayed.push_back(std::move(transaction));
--- a/tests/coordination/pool/memory_store.h
+++ b/tests/coordination/pool/memory_store.h
@@ -40,6 +40,14 @@
   std::string refused_table;
   /// Partition whose changes are refused; empty for none.
   std::string refused_partition;
+  /// Maximum size of a row's value and of all values of a transaction, in bytes. A transaction beyond them is
+  /// refused for good. 0 for no limit.
+  std::size_t row_limit = 0;
+  std::size_t call_limit = 0;
+  /// Number of transactions refused for their size.
+  int oversized = 0;
+  /// True while replies to failed conditions leave out rows that do not exist.
+  bool omits_absent_rows = false;
   /// Number of upcoming transactions that are applied but whose reply is lost.
   int lost_replies = 0;
   /// Number of upcoming transactions that are moved to `delayed` instead of being applied. Their reply is
@@ -53,6 +61,9 @@
   int writes = 0;
 
  private:
+  // Returns whether a value or the sum of all values is too large.
+  bool IsOversized(const coordination::pool::store_transaction& transaction) const;
+
   // Rows by table, partition and key.
   std::map<std::tuple<std::string, std::string, std::string>, coordination::pool::stored_row> rows_;
   std::vector<coordination::pool::stored_row> history_;
