Keep one job's write from holding up its partition

Callers saw accepted jobs that were not started, and ends of runs that were not acknowledged, while capacity was free.

Cause: partition_writer sent all changed jobs of a partition in one transaction. A refused one was merged with the other changes and sent again for ever, though the store can never apply a row or a call that is too large. A conflict without an explanation was repeated without a pause. Full transactions took the lowest ids first, and a waiting caller got its answer only after a write that left no change of the partition behind; an acknowledgement needed that in all four.

Change: the oldest changes go first, and callers wait for the changes of their own jobs. RenewWorker acknowledges the ends before the first one whose job is not stored. A transaction is limited to 512 KiB of values. After a refusal that cannot pass (400, 413: transaction_result::is_permanent) or an unexplained conflict its jobs are written in halves, down to single ones; a job that is refused alone is retried after 0.5 s, doubling up to 8 s, logged with its id and counted. A row that a conflict's reply leaves out is taken as absent. Refusals that may pass (429, 503) are treated as before. A start is still sent only after its record is stored, and an end acknowledged only after its job's row is stored.

--- a/src/coordination/pool/partition_writer.cpp
+++ b/src/coordination/pool/partition_writer.cpp
@@ -1,5 +1,9 @@
 #include "coordination/pool/partition_writer.h"
 
+#include <algorithm>
+#include <utility>
+#include <vector>
+
 #include "coordination/pool/pool_codec.h"
 #include "coordination/pool/pool_tables.h"
 #include "transport/async_event.h"
@@ -24,11 +28,14 @@
 constexpr std::size_t kJobsPerWrite = 30;
 constexpr std::size_t kRemovalsPerWrite = 8;
 
-template <typename T>
-std::set<T> ExtractUpTo(std::set<T>& from, std::size_t limit) {
-  std::set<T> extracted;
-  while (!from.empty() && extracted.size() < limit) extracted.insert(from.extract(from.begin()));
-  return extracted;
+// A call to the store holds at most 1 MB, in base64 and with the names of the rows.
+constexpr std::size_t kBytesPerWrite = 524'288;
+// Pauses after a job's progress was refused for good. They are doubled up to the maximum.
+constexpr milliseconds kRefusalPause{500};
+constexpr milliseconds kMaxRefusalPause{8000};
+
+milliseconds PauseAfterRefusals(int refusals) {
+  return std::min(kRefusalPause * (1 << std::clamp(refusals - 1, 0, 4)), kMaxRefusalPause);
 }
 
 }  // namespace
@@ -51,15 +58,21 @@
 }
 
 void partition_writer::Add(const std::string& job, bool urgent) {
-  changed_.insert(job);
+  changed_.try_emplace(job, unstored_change{++last_change_, kJobsPerWrite});
   if (urgent && !urgent_) wake_.Notify();
   urgent_ = urgent_ || urgent;
 }
 
+bool partition_writer::HasDueWork(state::pool::boot_time now) const {
+  if (!removals_.empty() && removals_retry_at_ <= now) return true;
+  return std::any_of(changed_.begin(), changed_.end(),
+                     [now](const auto& entry) { return entry.second.retry_at <= now; });
+}
+
 boost::asio::awaitable<void> partition_writer::Run() {
   state::pool::boot_time batch_begin = BootNow();
   while (!stopped_) {
-    const bool idle = changed_.empty() && removals_.empty();
+    const bool idle = !HasDueWork(BootNow());
     if (idle) batch_begin = BootNow();
     if (idle || (!urgent_ && BootNow() - batch_begin < kBatchTime)) {
       co_await wake_.Wait(kBatchTime);
@@ -70,68 +83,130 @@
   }
 }
 
-boost::asio::awaitable<bool> partition_writer::WaitStored(state::pool::boot_time limit) {
-  // A write in progress may not include the changes; the next one does.
-  const std::int64_t needed = changed_.empty() ? next_write_ - 1 : next_write_;
-  // A caller waits, so nothing more is batched. Otherwise the worker's next lists, and the free capacity that
-  // they show, would be delayed by half a second.
-  urgent_ = urgent_ || !changed_.empty();
-  while (!stopped_ && stored_write_ < needed && BootNow() < limit) {
-    wake_.Notify();
+bool partition_writer::IsStored(const std::string& job, std::int64_t change) const {
+  for (const auto* unstored : {&changed_, &in_progress_}) {
+    const auto found = unstored->find(job);
+    if (found != unstored->end() && found->second.number <= change) return false;
+  }
+  return true;
+}
+
+std::set<std::string> partition_writer::UnstoredJobs() const {
+  std::set<std::string> jobs;
+  for (const auto* unstored : {&changed_, &in_progress_}) {
+    for (const auto& [job, change] : *unstored) jobs.insert(job);
+  }
+  return jobs;
+}
+
+std::int64_t partition_writer::Expedite(const std::set<std::string>& jobs) {
+  // Otherwise the worker's next lists, and the free capacity that they show, would be delayed by half a
+  // second.
+  for (const std::string& job : jobs) urgent_ = urgent_ || changed_.contains(job);
+  if (urgent_) wake_.Notify();
+  return last_change_;
+}
+
+boost::asio::awaitable<std::set<std::string>> partition_writer::WaitStored(std::set<std::string> jobs,
+                                                                           std::int64_t change,
+                                                                           state::pool::boot_time limit) {
+  const auto is_stored = [&](const std::string& job) { return IsStored(job, change); };
+  std::erase_if(jobs, is_stored);
+  while (!jobs.empty() && !stopped_ && BootNow() < limit) {
     co_await stored_.Wait(limit - BootNow());
+    std::erase_if(jobs, is_stored);
   }
-  co_return stored_write_ >= needed;
+  co_return jobs;
 }
 
-store_transaction partition_writer::MakeTransaction(const std::set<std::string>& jobs,
-                                                    const std::set<std::string>& removals) {
+// The oldest changes go first, so that no job waits longer than it takes to write those before it.
+store_transaction partition_writer::BeginWrite() {
   store_transaction transaction;
   transaction.conditions.push_back({kOwnershipTable, kEpochKey, owner_.epoch_version(), partition_});
-  for (const std::string& id : jobs) {
+  const state::pool::boot_time now = BootNow();
+  std::vector<change_map::iterator> due;
+  for (auto entry = changed_.begin(); entry != changed_.end(); ++entry) {
+    if (entry->second.retry_at <= now) due.push_back(entry);
+  }
+  std::sort(due.begin(), due.end(),
+            [](const auto& left, const auto& right) { return left->second.number < right->second.number; });
+  std::size_t max_jobs = kJobsPerWrite;
+  std::size_t bytes = 0;
+  for (const auto& entry : due) {
+    max_jobs = std::min(max_jobs, entry->second.max_jobs);
+    if (in_progress_.size() >= max_jobs) break;
+    const std::string& id = entry->first;
     const auto job = state_.jobs().find(id);
-    if (job == state_.jobs().end()) continue;
-    transaction.conditions.push_back({kProgressTable, id, job->second.row_version, partition_});
-    transaction.changes.push_back({kProgressTable, id, EncodeProgress(job->second), partition_});
+    if (job != state_.jobs().end()) {
+      std::string progress = EncodeProgress(job->second);
+      if (bytes > 0 && bytes + progress.size() > kBytesPerWrite) break;
+      bytes += progress.size();
+      transaction.conditions.push_back({kProgressTable, id, job->second.row_version, partition_});
+      transaction.changes.push_back({kProgressTable, id, std::move(progress), partition_});
+    }
+    in_progress_.insert(changed_.extract(entry));
   }
-  for (const std::string& id : removals) {
+  // Transactions that search for a refused job hold nothing else that may be refused.
+  if (max_jobs == kJobsPerWrite && removals_retry_at_ <= now) AddRemovals(transaction);
+  return transaction;
+}
+
+void partition_writer::AddRemovals(store_transaction& transaction) {
+  while (!removals_.empty() && removals_in_progress_.size() < kRemovalsPerWrite)
+    removals_in_progress_.insert(removals_.extract(removals_.begin()));
+  for (const std::string& id : removals_in_progress_) {
     for (const char* table : {kJobsTable, kProgressTable}) {
       transaction.changes.push_back({table, id, std::nullopt, partition_});
       transaction.changes.push_back({table, id + kCancelSuffix, std::nullopt, partition_});
     }
   }
-  return transaction;
+}
+
+void partition_writer::AbandonWrite() {
+  // A change made during the write keeps the older number and the refusals of the one that was not stored.
+  in_progress_.merge(changed_);
+  changed_ = std::exchange(in_progress_, {});
+  removals_.merge(removals_in_progress_);
+  removals_in_progress_.clear();
+  urgent_ = true;
 }
 
 boost::asio::awaitable<void> partition_writer::WriteOnce() {
-  std::set<std::string> jobs = ExtractUpTo(changed_, kJobsPerWrite);
-  std::set<std::string> removals = ExtractUpTo(removals_, kRemovalsPerWrite);
-  const bool holds_all_changes = changed_.empty();
-  if (holds_all_changes) urgent_ = false;
-  const std::int64_t write = next_write_;
-  if (holds_all_changes) ++next_write_;
+  store_transaction transaction = BeginWrite();
+  if (!HasDueWork(BootNow())) urgent_ = false;
   const std::int64_t epoch = owner_.epoch();
-  const transaction_result result = co_await store_.Apply(MakeTransaction(jobs, removals), kReplyTimeout);
+  const transaction_result result = co_await store_.Apply(std::move(transaction), kReplyTimeout);
   if (stopped_ || owner_.epoch() != epoch) co_return;
   if (result.outcome == transaction_outcome::kDone) {
     if (failures_ > 0) log_.Write("writer", "store takes writes again", {{"partition", partition_}});
     failures_ = 0;
-    for (const std::string& id : jobs) {
+    conflicts_ = 0;
+    if (!removals_in_progress_.empty()) removal_refusals_ = 0;
+    for (const auto& [id, change] : in_progress_) {
       const auto job = state_.jobs().find(id);
       if (job != state_.jobs().end()) job->second.row_version = result.version;
+      if (change.refusals > 0) log_.Write("writer", "progress stored again", {{"id", id}});
     }
-    if (holds_all_changes) {
-      stored_write_ = write;
-      stored_.Notify();
-    }
+    in_progress_.clear();
+    removals_in_progress_.clear();
+    stored_.Notify();
     co_return;
   }
-  changed_.merge(jobs);
-  removals_.merge(removals);
-  urgent_ = true;
   if (result.outcome == transaction_outcome::kConflict) {
-    HandleConflict(result);
+    ++conflicts_;
+    if (!HandleConflict(result)) HandleRefusal("unexplained conflict");
+    AbandonWrite();
+    // The first conflict after a lost reply is resolved by the versions that it returns.
+    if (conflicts_ > 1) co_await transport::Sleep(kRetryPause);
     co_return;
   }
+  conflicts_ = 0;
+  if (result.outcome == transaction_outcome::kNotDone && result.is_permanent) {
+    HandleRefusal("refused by the store");
+    AbandonWrite();
+    co_return;
+  }
+  AbandonWrite();
   if (failures_ == 0) {
     log_.Write("writer", "write not confirmed",
                {{"partition", partition_},
@@ -143,18 +218,64 @@
   co_await transport::Sleep(pause);
 }
 
-void partition_writer::HandleConflict(const transaction_result& result) {
+bool partition_writer::HandleConflict(const transaction_result& result) {
+  std::map<std::string_view, std::int64_t> versions;
   for (const stored_row& row : result.current) {
     if (row.table == kOwnershipTable && row.version != owner_.epoch_version()) {
       owner_.Lose("another VM has a higher epoch");
-      return;
+      return true;
     }
-    if (row.table != kProgressTable) continue;
-    const auto job = state_.jobs().find(row.key);
+    if (row.table == kProgressTable) versions[row.key] = row.version;
+  }
+  bool is_explained = false;
+  for (const auto& [id, change] : in_progress_) {
+    const auto job = state_.jobs().find(id);
+    if (job == state_.jobs().end()) continue;
+    // The store may leave out a row that does not exist.
+    const auto found = versions.find(id);
+    const std::int64_t version = found == versions.end() ? 0 : found->second;
+    if (version == job->second.row_version) continue;
     // An earlier write of this owner was applied and its reply was lost: only the owner of the epoch writes
     // these rows.
-    if (job != state_.jobs().end()) job->second.row_version = row.version;
+    job->second.row_version = version;
+    is_explained = true;
+  }
+  return is_explained;
+}
+
+void partition_writer::HandleRefusal(const std::string& reason) {
+  const state::pool::boot_time now = BootNow();
+  if (!removals_in_progress_.empty()) {
+    ++removal_refusals_;
+    removals_retry_at_ = now + PauseAfterRefusals(removal_refusals_);
+    if (in_progress_.empty()) {
+      log_.Write("writer", "removal refused",
+                 {{"partition", partition_},
+                  {"reason", reason},
+                  {"jobs", std::to_string(removals_in_progress_.size())},
+                  {"refusals", std::to_string(removal_refusals_)}});
+    }
   }
+  const bool is_single = in_progress_.size() == 1 && removals_in_progress_.empty();
+  for (auto& [id, change] : in_progress_) {
+    change.max_jobs = std::max<std::size_t>(1, in_progress_.size() / 2);
+    if (!is_single) continue;
+    ++change.refusals;
+    change.retry_at = now + PauseAfterRefusals(change.refusals);
+    const auto job = state_.jobs().find(id);
+    const std::size_t bytes = job == state_.jobs().end() ? 0 : EncodeProgress(job->second).size();
+    log_.Write("writer", "progress refused",
+               {{"id", id},
+                {"reason", reason},
+                {"bytes", std::to_string(bytes)},
+                {"refusals", std::to_string(change.refusals)}});
+  }
+}
+
+int partition_writer::CountRefusedJobs() const {
+  const auto is_refused = [](const auto& entry) { return entry.second.refusals > 0; };
+  return static_cast<int>(std::count_if(changed_.begin(), changed_.end(), is_refused) +
+                          std::count_if(in_progress_.begin(), in_progress_.end(), is_refused));
 }
 
 }  // namespace hickorystall::coordination::pool
--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -1,6 +1,9 @@
 // Part of pool_owner: orders to workers and their replies.
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+#include <set>
+
 #include "coordination/pool/pool_owner.h"
 #include "transport/async_event.h"
 
@@ -25,6 +28,8 @@
 // the ends.
 constexpr milliseconds kStoreWait{500};
 
+std::string JobOf(const std::string& task) { return task.substr(0, task.find('.')); }
+
 }  // namespace
 
 order_address pool_owner::AddressOf(const worker_entry& worker) const {
@@ -119,12 +124,17 @@
   const std::int64_t highest = state_.ApplyWorkerLists(id, reply.lists, call_number, BootNow());
   Wake();
   if (highest > acknowledged || !is_same_incarnation) {
-    const bool stored = co_await writer_.WaitStored(kStoreWait);
-    if (stored && !stopped_) {
-      worker = state_.FindWorker(id);
-      if (worker != nullptr && worker->registration.incarnation == reply.lists.incarnation) {
-        worker->acknowledged_end = std::max(worker->acknowledged_end, highest);
+    std::set<std::string> jobs;
+    for (const listed_end& end : reply.lists.finished) jobs.insert(JobOf(end.task));
+    const std::set<std::string> unstored = co_await writer_.WaitJobsStored(jobs, kStoreWait);
+    worker = state_.FindWorker(id);
+    if (!stopped_ && worker != nullptr && worker->registration.incarnation == reply.lists.incarnation) {
+      // Acknowledging an end covers all ends before it, so those from the first one that is not stored wait.
+      std::int64_t stored_end = highest;
+      for (const listed_end& end : reply.lists.finished) {
+        if (unstored.contains(JobOf(end.task))) stored_end = std::min(stored_end, end.number - 1);
       }
+      worker->acknowledged_end = std::max(worker->acknowledged_end, stored_end);
     }
   }
   co_return true;
--- a/src/coordination/pool/pool_store.h
+++ b/src/coordination/pool/pool_store.h
@@ -60,6 +60,9 @@
 
 struct transaction_result {
   transaction_outcome outcome = transaction_outcome::kUnknown;
+  /// With kNotDone: true if the store would refuse the same transaction again, for example because a row is
+  /// too large.
+  bool is_permanent = false;
   /// Version of the written rows; set with kDone.
   std::int64_t version = 0;
   /// After a conflict: the current rows that the conditions name.
--- a/src/coordination/pool/progress_writer.cpp
+++ b/src/coordination/pool/progress_writer.cpp
@@ -1,6 +1,7 @@
 #include "coordination/pool/progress_writer.h"
 
 #include <algorithm>
+#include <map>
 
 #include "coordination/pool/pool_tables.h"
 #include "transport/boot_clock.h"
@@ -37,24 +38,47 @@
                      [](const auto& writer) { return writer->is_storing(); });
 }
 
+int progress_writer::CountRefusedJobs() const {
+  int count = 0;
+  for (const auto& writer : writers_) count += writer->CountRefusedJobs();
+  return count;
+}
+
 void progress_writer::DistributeChanges() {
   const bool urgent = state_.has_urgent_change();
   for (const std::string& job : state_.TakeChangedJobs()) WriterOf(job).Add(job, urgent);
 }
 
 boost::asio::awaitable<bool> progress_writer::WaitStored(milliseconds timeout) {
+  DistributeChanges();
+  std::set<std::string> jobs;
+  for (const auto& writer : writers_) jobs.merge(writer->UnstoredJobs());
+  const std::set<std::string> unstored = co_await WaitJobsStored(std::move(jobs), timeout);
+  co_return unstored.empty();
+}
+
+boost::asio::awaitable<std::set<std::string>> progress_writer::WaitJobsStored(std::set<std::string> jobs,
+                                                                              milliseconds timeout) {
+  struct partition_wait {
+    std::set<std::string> jobs;
+    std::int64_t change = 0;
+  };
   DistributeChanges();
   const state::pool::boot_time limit = BootNow() + timeout;
-  for (const auto& writer : writers_) {
-    const bool stored = co_await writer->WaitStored(limit);
-    if (!stored) co_return false;
-  }
-  co_return true;
+  std::map<partition_writer*, partition_wait> waits;
+  for (const std::string& job : jobs) waits[&WriterOf(job)].jobs.insert(job);
+  for (auto& [writer, wait] : waits) wait.change = writer->Expedite(wait.jobs);
+  std::set<std::string> unstored;
+  for (auto& [writer, wait] : waits)
+    unstored.merge(co_await writer->WaitStored(std::move(wait.jobs), wait.change, limit));
+  co_return unstored;
 }
 
 boost::asio::awaitable<bool> progress_writer::WaitJobStored(std::string job, milliseconds timeout) {
-  DistributeChanges();
-  co_return co_await WriterOf(job).WaitStored(BootNow() + timeout);
+  std::set<std::string> jobs;
+  jobs.insert(std::move(job));
+  const std::set<std::string> unstored = co_await WaitJobsStored(std::move(jobs), timeout);
+  co_return unstored.empty();
 }
 
 }  // namespace hickorystall::coordination::pool
--- a/src/coordination/pool/progress_writer.h
+++ b/src/coordination/pool/progress_writer.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,10 +28,16 @@
   /// Waits until all changes made before the call are stored, for at most `timeout`. Returns true when they
   /// are stored.
   boost::asio::awaitable<bool> WaitStored(std::chrono::milliseconds timeout);
-  /// Like WaitStored, but only for the partition of `job`.
+  /// Waits until all changes of `jobs` made before the call are stored, for at most `timeout`. Returns the
+  /// jobs with changes that are not stored then.
+  boost::asio::awaitable<std::set<std::string>> WaitJobsStored(std::set<std::string> jobs,
+                                                               std::chrono::milliseconds timeout);
+  /// Like WaitJobsStored for one job. Returns true when its changes are stored.
   boost::asio::awaitable<bool> WaitJobStored(std::string job, std::chrono::milliseconds timeout);
   /// False while the store confirms writes in no partition.
   bool is_storing() const;
+  /// Returns the number of jobs whose progress the store refuses for good.
+  int CountRefusedJobs() const;
   /// Removes the rows of a forgotten job with the next transaction.
   void Remove(const std::string& job) { WriterOf(job).Remove(job); }
 
--- a/tests/coordination/pool/memory_store.cpp
+++ b/tests/coordination/pool/memory_store.cpp
@@ -77,6 +77,7 @@
     ++oversized;
     transaction_result refused;
     refused.outcome = transaction_outcome::kNotDone;
+    refused.is_permanent = true;
     co_return refused;
   }
   if (late_writes > 0 && (late_table.empty() || transaction.changes.front().table == late_table)) {
--- a/tests/coordination/pool/partition_writer_test.cpp
+++ b/tests/coordination/pool/partition_writer_test.cpp
@@ -1,16 +1,21 @@
 // Tests that one job whose progress cannot be stored, or a stream of changes, does not hold up other jobs.
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "coordination/pool/memory_store.h"
+#include "coordination/pool/owner_vm.h"
 #include "coordination/pool/pool_codec.h"
 #include "coordination/pool/pool_tables.h"
 #include "coordination/pool/progress_writer.h"
+#include "coordination/pool/standin_workers.h"
 #include "transport/async_event.h"
 #include "transport/boot_clock.h"
 
@@ -34,6 +39,16 @@
   return id + "a";
 }
 
+ownership_settings FastOwnership() {
+  ownership_settings settings;
+  settings.instance = "a";
+  settings.address = "a:1";
+  settings.renewal = milliseconds(50);
+  settings.takeover_timeout = milliseconds(80);
+  settings.margin = milliseconds(20);
+  return settings;
+}
+
 // A progress_writer on a test store, with a VM that owns the pool and one large worker.
 class writer_fixture {
  public:
@@ -73,7 +88,8 @@
 
   // Changes the progress of a job by starting its first `tasks` tasks.
   void Start(int number, int tasks = 1) {
-    for (int task = 0; task < tasks; ++task) state.StartUnit({JobId(number), 0, 0, task}, {kWorker}, BootNow());
+    for (int task = 0; task < tasks; ++task)
+      state.StartUnit({JobId(number), 0, 0, task}, {kWorker}, BootNow());
     state.TakeOrders();
   }
 
@@ -91,9 +107,8 @@
     asio::co_spawn(loop_, owner_.Run(), asio::detached);
     const auto run = [&]() -> asio::awaitable<void> {
       while (!owner_.HasAuthority()) co_await transport::Sleep(milliseconds(5));
-      writer.Start([this](asio::awaitable<void> work) {
-        asio::co_spawn(loop_, std::move(work), asio::detached);
-      });
+      writer.Start(
+          [this](asio::awaitable<void> work) { asio::co_spawn(loop_, std::move(work), asio::detached); });
       co_await scenario(writer);
       writer.Stop();
       owner_.Stop();
@@ -114,22 +129,42 @@
   }
 
  private:
-  static ownership_settings FastOwnership() {
-    ownership_settings settings;
-    settings.instance = "a";
-    settings.address = "a:1";
-    settings.incarnation = "a-1";
-    settings.renewal = milliseconds(50);
-    settings.takeover_timeout = milliseconds(80);
-    settings.margin = milliseconds(20);
-    return settings;
-  }
-
   event_log log_;
   asio::io_context loop_;
   ownership owner_;
 };
 
+// Workers that note the highest acknowledged end.
+class recording_workers : public standin_workers {
+ public:
+  asio::awaitable<lists_reply> Renew(order_address address, std::int64_t acknowledged_end,
+                                     std::optional<worker_time> deadline, milliseconds wait,
+                                     milliseconds timeout) override {
+    acknowledged = std::max(acknowledged, acknowledged_end);
+    co_return co_await standin_workers::Renew(std::move(address), acknowledged_end, deadline, wait, timeout);
+  }
+
+  std::int64_t acknowledged = 0;
+};
+
+// Stores the rows of a new job with one task.
+void StoreJob(memory_store& store, const std::string& id) {
+  job_entry job;
+  job.submission.id = id;
+  job.submission.workspace = "w";
+  job.submission.queue = "q";
+  job.submission.service = "s";
+  job.submission.max_attempts = 4;
+  job.submission.accepted_at = transport::WallNow();
+  step_request step;
+  step.need = {1, 1, 0};
+  step.estimate = milliseconds(10'000);
+  job.submission.request.steps = {step};
+  store.ApplyNow({{},
+                  {{kJobsTable, id, EncodeSubmission(job.submission), JobPartition(id)},
+                   {kProgressTable, id, EncodeProgress(job), JobPartition(id)}}});
+}
+
 }  // namespace
 
 // Guards against a partition that stops for good: a transaction with a row that is too large was refused, and
@@ -152,10 +187,12 @@
     const int refused = fixture.store.oversized;
     co_await transport::Sleep(milliseconds(1000));
     CHECK(fixture.store.oversized - refused <= 5);
+    CHECK(writer.CountRefusedJobs() == 1);
     // The row is written once the store takes it.
     fixture.store.row_limit = 0;
     const bool is_stored_later = co_await writer.WaitJobStored(JobId(1), milliseconds(15'000));
     CHECK(is_stored_later);
+    CHECK(writer.CountRefusedJobs() == 0);
     CHECK(fixture.store.Value(kProgressTable, JobId(1)) == EncodeProgress(fixture.state.jobs().at(JobId(1))));
   });
 }
@@ -220,4 +257,44 @@
   });
 }
 
+// Guards against ends that are not acknowledged on any worker while one partition takes no writes, and
+// against an acknowledgement of an end that is not stored.
+TEST_CASE("ends are acknowledged up to the first one that is not stored", "[pool]") {
+  const std::string stored_job = "000000000000000b";
+  const std::string refused_job = JobId(1);
+  REQUIRE(JobPartition(stored_job) != JobPartition(refused_job));
+  memory_store store;
+  recording_workers workers;
+  asio::io_context loop;
+  store.ApplyNow({{}, {{kConfigTable, "config", "{}"}}});
+  store.ApplyNow({{}, {{kRegistryTable, kWorker, R"({"address":"127.0.0.1:1","born":1})"}}});
+  StoreJob(store, stored_job);
+  StoreJob(store, refused_job);
+  // Keeps running, so that the worker is called all the time.
+  StoreJob(store, "000000000000001b");
+  owner_vm vm("a", FastOwnership(), pool_settings{}, store, workers, loop);
+  const auto wait_for = [](const std::function<bool()>& condition) -> asio::awaitable<void> {
+    const auto limit = BootNow() + kWait;
+    while (!condition() && BootNow() < limit) co_await transport::Sleep(milliseconds(5));
+  };
+  const auto run = [&]() -> asio::awaitable<void> {
+    co_await wait_for([&] { return workers.CountRunsOn(kWorker) == 3; });
+    store.refused_partition = JobPartition(refused_job);
+    workers.End(kWorker, TaskName(stored_job, 0, 0, 0), end_kind::kDone);
+    workers.End(kWorker, TaskName(refused_job, 0, 0, 0), end_kind::kDone);
+    co_await wait_for([&] { return workers.acknowledged > 0; });
+    CHECK(workers.acknowledged == 1);
+    co_await transport::Sleep(milliseconds(1000));
+    CHECK(workers.acknowledged == 1);
+    store.refused_partition.clear();
+    co_await wait_for([&] { return workers.acknowledged == 2; });
+    CHECK(workers.acknowledged == 2);
+    vm.Kill();
+  };
+  asio::co_spawn(loop, run, [](const std::exception_ptr& failure) {
+    if (failure) std::rethrow_exception(failure);
+  });
+  loop.run();
+}
+
 }  // namespace hickorystall::tests
