Bound the units of a job in progress by the size of a row

Cause: the progress of a job is one row, in which each unit in progress takes 35 to about 120 bytes.

Change: the step queue offers only as many units for their first start as seven eighths of the row hold, counted with the worker ids, checkpoints and failed runs that they have or may get; units that have begun may start again. The steps of a job share what is left, so that one without a usable worker takes nothing from the others.

--- a/src/coordination/pool/pool_codec.cpp
+++ b/src/coordination/pool/pool_codec.cpp
@@ -42,7 +42,8 @@
 }
 
 // A unit is encoded as 0 before its first start, as 1 when it is done, and as an object in between. The
-// object names the workers on which its latest start may run.
+// object names the workers on which its latest start may run. `progress_budget` in state/pool/unit_queue.cpp
+// bounds the size of these objects.
 json EncodeUnit(const work_unit& unit) {
   if (unit.done) return 1;
   if (unit.last_run == 0) return 0;
@@ -78,6 +79,17 @@
   }
 }
 
+// Returns whether a unit of `occurrence` has begun. An occurrence without one is created again when it is
+// due.
+bool HasBegun(const occurrence_progress& occurrence) {
+  for (const step_progress& step : occurrence.steps) {
+    for (const work_unit& unit : step.units) {
+      if (unit.done || unit.last_run > 0) return true;
+    }
+  }
+  return false;
+}
+
 }  // namespace
 
 std::string EncodeSubmission(const job_submission& submission) {
@@ -128,7 +140,7 @@
 std::string EncodeProgress(const job_entry& job) {
   json occurrences = json::object();
   for (const auto& [number, occurrence] : job.occurrences) {
-    if (job.finished_occurrences.contains(number)) continue;
+    if (job.finished_occurrences.contains(number) || !HasBegun(occurrence)) continue;
     json steps = json::array();
     for (const step_progress& step : occurrence.steps) {
       json units = json::array();
--- a/src/state/pool/pool_settings.h
+++ b/src/state/pool/pool_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 
 namespace hickorystall::state::pool {
 
@@ -13,6 +14,9 @@
   /// Time within which all members of a gang must have started.
   std::chrono::milliseconds gang_timeout{3000};
 
+  /// Maximum size of the stored progress of one job, in bytes: the store's limit of a row.
+  std::size_t max_progress_bytes = 65'536;
+
   /// Maximum age of the known jobs and registrations with which units are started. Older knowledge may miss
   /// the cancellation of a job or the notice that a worker leaves.
   std::chrono::milliseconds max_feed_age{1500};
--- a/src/state/pool/unit_queue.cpp
+++ b/src/state/pool/unit_queue.cpp
@@ -1,6 +1,7 @@
 #include "state/pool/unit_queue.h"
 
 #include <algorithm>
+#include <iterator>
 #include <optional>
 #include <string_view>
 #include <tuple>
@@ -133,6 +134,118 @@
   return startable;
 }
 
+// Sizes of the parts of a stored unit that has begun and is not done, in bytes. They follow EncodeUnit in
+// coordination/pool/pool_codec.cpp.
+constexpr std::size_t kUnitBytes = 32;
+constexpr std::size_t kWorkersBytes = 13;
+constexpr std::size_t kWorkerBytes = 3;
+constexpr std::size_t kCheckpointBytes = 16;
+constexpr std::size_t kFailuresBytes = 17;
+constexpr std::size_t kFailureBytes = 12;
+// A unit that has not begun, or is done.
+constexpr std::size_t kPlainUnitBytes = 2;
+// Fields of the job, and of an occurrence that is not finished; the number of a finished one.
+constexpr std::size_t kJobBytes = 200;
+constexpr std::size_t kOccurrenceBytes = 16;
+constexpr std::size_t kFinishedOccurrenceBytes = 5;
+// Expected size of a checkpoint before the job has one.
+constexpr std::size_t kExpectedCheckpoint = 24;
+// Share of a row that starts may fill. The rest is for failed runs and checkpoints that grow.
+constexpr double kRowShareForStarts = 0.875;
+
+// Returns the size of `text` in JSON.
+std::size_t EscapedSize(std::string_view text) {
+  constexpr std::size_t kUnicodeEscape = 6;
+  std::size_t size = 0;
+  for (const char character : text) {
+    const bool is_control = static_cast<unsigned char>(character) < ' ';
+    size += is_control ? kUnicodeEscape : character == '"' || character == '\\' ? 2 : 1;
+  }
+  return size;
+}
+
+std::size_t LongestWorkerId(const pool_state& state) {
+  std::size_t longest = 0;
+  for (const auto& [id, worker] : state.workers()) longest = std::max(longest, EscapedSize(id));
+  return longest;
+}
+
+// Bounds the units of one job that have begun and are not done, so that the progress of the job fits into a
+// row of the store. The other units start as these end. Units that have begun before may always start again,
+// since their place in the row is taken.
+class progress_budget {
+ public:
+  progress_budget(const pool_state& state, const job_entry& job, std::size_t longest_worker_id)
+      : longest_worker_id_(longest_worker_id) {
+    for (const auto& [number, occurrence] : job.occurrences) {
+      for (const step_progress& step : occurrence.steps) {
+        for (const work_unit& unit : step.units)
+          largest_checkpoint_ = std::max(largest_checkpoint_, EscapedSize(unit.checkpoint));
+      }
+    }
+    std::size_t used = kJobBytes + EscapedSize(job.submission.queue) + EscapedSize(job.submission.workspace) +
+                       kFinishedOccurrenceBytes * job.finished_occurrences.size();
+    for (const auto& [number, occurrence] : job.occurrences) {
+      if (job.finished_occurrences.contains(number)) continue;
+      used += kOccurrenceBytes;
+      for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
+        const bool checkpointable = job.submission.request.steps[step].checkpointable;
+        for (const work_unit& unit : occurrence.steps[step].units) {
+          const bool is_begun = unit.last_run > 0 && !unit.done;
+          has_begun_ = has_begun_ || is_begun;
+          used += is_begun ? BegunSize(unit, checkpointable) : kPlainUnitBytes;
+        }
+      }
+    }
+    const auto limit = static_cast<std::size_t>(static_cast<double>(state.settings().max_progress_bytes) *
+                                                kRowShareForStarts);
+    left_ = limit > used ? limit - used : 0;
+  }
+
+  // Removes the units that may not begin now from the steps of `job`, which share what is left: a step that
+  // finds no worker takes nothing from the others.
+  void Restrict(std::vector<waiting_step>& steps) const {
+    std::size_t beginning = 0;
+    for (const waiting_step& step : steps) beginning += CountNew(step) > 0 ? 1 : 0;
+    if (beginning == 0) return;
+    const std::size_t share = left_ / beginning;
+    for (waiting_step& step : steps) {
+      const work_unit& first = step.progress->units[step.units.front()];
+      std::size_t allowed = share / BegunSize(first, step.request->checkpointable);
+      // A job with nothing in progress starts something, whatever its size.
+      if (!has_begun_) allowed = std::max<std::size_t>(allowed, 1);
+      std::erase_if(step.units, [&](int unit) {
+        if (step.progress->units[unit].last_run > 0) return false;
+        if (allowed == 0) return true;
+        --allowed;
+        return false;
+      });
+    }
+    std::erase_if(steps, [](const waiting_step& step) { return step.units.empty(); });
+  }
+
+ private:
+  static std::size_t CountNew(const waiting_step& step) {
+    return std::count_if(step.units.begin(), step.units.end(),
+                         [&](int unit) { return step.progress->units[unit].last_run == 0; });
+  }
+
+  // Returns the size of `unit` once it has begun.
+  std::size_t BegunSize(const work_unit& unit, bool checkpointable) const {
+    const std::size_t workers = unit.members.size() + unit.unresolved_workers.size();
+    std::size_t size = kUnitBytes + kWorkersBytes + workers * (longest_worker_id_ + kWorkerBytes);
+    if (checkpointable) size += kCheckpointBytes + std::max(largest_checkpoint_, kExpectedCheckpoint);
+    if (!unit.failed_runs.empty()) size += kFailuresBytes + kFailureBytes * unit.failed_runs.size();
+    return size;
+  }
+
+  const std::size_t longest_worker_id_;
+  std::size_t largest_checkpoint_ = 0;
+  bool has_begun_ = false;
+  // Bytes that units may take that have not begun.
+  std::size_t left_ = 0;
+};
+
 }  // namespace
 
 std::vector<waiting_step> MakeStepQueue(const pool_state& state,
@@ -140,9 +253,11 @@
                                         unix_time wall_now) {
   std::vector<waiting_step> queue;
   const std::set<unit_position> units_with_unaccounted_runs = UnitsWithUnaccountedRuns(state);
+  const std::size_t longest_worker_id = LongestWorkerId(state);
   for (const auto& [id, job] : state.open_jobs()) {
     if (IsFinal(job->phase)) continue;
     const int priority = QueuePriority(state, *job);
+    std::vector<waiting_step> steps;
     for (const auto& [number, occurrence] : job->occurrences) {
       std::optional<job_timing> timing;
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
@@ -164,9 +279,12 @@
         entry.outlook = timing->outlook;
         entry.due = timing->due;
         entry.has_little_slack = timing->has_little_slack;
-        queue.push_back(std::move(entry));
+        steps.push_back(std::move(entry));
       }
     }
+    if (steps.empty()) continue;
+    progress_budget(state, *job, longest_worker_id).Restrict(steps);
+    std::move(steps.begin(), steps.end(), std::back_inserter(queue));
   }
   const auto key = [](const waiting_step& entry) {
     return std::tuple(!entry.is_guaranteed, entry.outlook == deadline_outlook::kMissed, entry.priority,
--- a/tests/coordination/pool/partition_writer_test.cpp
+++ b/tests/coordination/pool/partition_writer_test.cpp
@@ -16,6 +16,7 @@
 #include "coordination/pool/pool_tables.h"
 #include "coordination/pool/progress_writer.h"
 #include "coordination/pool/standin_workers.h"
+#include "state/pool/pool_plan.h"
 #include "transport/async_event.h"
 #include "transport/boot_clock.h"
 
@@ -297,4 +298,79 @@
   loop.run();
 }
 
+// Guards against a job whose progress outgrows a row of the store (review/1): 960 units with checkpoints that
+// were in progress at once did so.
+TEST_CASE("the progress of a large job fits into a row", "[pool]") {
+  constexpr int kWidth = 230;
+  constexpr int kSteps = 3;
+  constexpr int kOccurrences = 4;
+  constexpr int kWorkers = 24;
+  const std::string checkpoint(16, 'c');
+  pool_state state{pool_settings{}, 1};
+  std::map<std::string, std::string> addresses;
+  for (int i = 0; i < kWorkers; ++i) {
+    worker_registration registration;
+    registration.id = "worker-" + std::to_string(i);
+    registration.address = "127.0.0.1:1";
+    registration.service = "s";
+    registration.capacity = {1'000'000, 1'000'000, 0};
+    addresses[registration.id] = registration.address;
+    state.SetRegistration(registration, BootNow());
+  }
+  state.SetRecordedWorkers(addresses);
+  for (const auto& [id, address] : addresses)
+    state.ApplyWorkerLists(id, worker_lists{}, state.NextCallNumber(), BootNow());
+  job_entry job;
+  job.submission.id = JobId(1);
+  job.submission.queue = "q";
+  job.submission.service = "s";
+  job.submission.max_attempts = 4;
+  step_request step;
+  step.task_count = kWidth;
+  step.need = {500, 256, 0};
+  step.estimate = milliseconds(9500);
+  step.checkpointable = true;
+  job.submission.request.steps.assign(kSteps, step);
+  // A step that no worker can run takes no room from the others.
+  const bool has_unplaceable_step = GENERATE(false, true);
+  if (has_unplaceable_step) {
+    job.submission.request.steps[0].required_label = "absent";
+  }
+  job.submission.request.occurrences = kOccurrences;
+  state.AddJob(job, BootNow());
+  state.MakeDueOccurrences(BootNow(), transport::WallNow());
+  const int placeable = kWidth * (kSteps - (has_unplaceable_step ? 1 : 0)) * kOccurrences;
+  int done = 0;
+  int most_running = 0;
+  std::map<std::string, std::int64_t> ends;
+  for (int pass = 0; pass < 100 && done < placeable; ++pass) {
+    ApplyPlan(PlanPool(state, BootNow(), transport::WallNow()), state, BootNow());
+    // Each run reports a checkpoint. After three passes it is done, so that several passes fill the row.
+    std::map<std::string, worker_lists> lists;
+    int running = 0;
+    for (const auto& [id, worker] : state.workers()) {
+      lists[id];
+      for (const std::string& task : worker.tasks) {
+        const task_name_parts parts = *ParseTaskName(task);
+        const std::int64_t run =
+            state.FindUnit({parts.job, parts.occurrence, parts.step, parts.index})->last_run;
+        ++running;
+        if (pass % 3 < 2) {
+          lists[id].running.push_back({task, run, checkpoint, 50});
+        } else {
+          lists[id].finished.push_back({++ends[id], task, run, end_kind::kDone, checkpoint});
+          ++done;
+        }
+      }
+    }
+    most_running = std::max(most_running, running);
+    for (const auto& [id, listed] : lists)
+      state.ApplyWorkerLists(id, listed, state.NextCallNumber(), BootNow());
+    REQUIRE(EncodeProgress(state.jobs().at(JobId(1))).size() <= state.settings().max_progress_bytes);
+  }
+  CHECK(done == placeable);
+  // The bound is not much lower than necessary.
+  CHECK(most_running >= 500);
+}
+
 }  // namespace hickorystall::tests
