Try other workers after a refused start

Cause: a refusal left no trace, so the next pass chose the same worker: the order of workers is fixed. A gang that needs one rack also chose the same rack again, since only free accelerators decided between racks.

Change: the unit notes the worker as one to avoid, as after a failure, and of the racks that can hold a gang the one with the fewest such workers is chosen. Not solved: starts that are refused at random on all workers, where a wide gang rarely has all its starts accepted; that needs a retry of single members.

The new tests measure how long a job breaks the users' rule.

--- a/src/state/pool/job_entry.h
+++ b/src/state/pool/job_entry.h
@@ -86,7 +86,7 @@
   std::string checkpoint;
   /// Number of times that this owner stopped the unit in favor of a more urgent one.
   int preemptions = 0;
-  /// Workers on which the unit has failed; placement avoids them if it can.
+  /// Workers on which the unit has failed or that refused to start it; placement avoids them if it can.
   std::set<std::string> failed_on;
   /// When the step of the unit became ready.
   boot_time ready_at{};
--- a/src/state/pool/pool_state.cpp
+++ b/src/state/pool/pool_state.cpp
@@ -346,6 +346,8 @@
     worker_entry* worker = FindWorker(worker_id);
     if (worker != nullptr) worker->avoided_until = now + settings_.avoid_time;
   }
+  // The reason for a refusal can persist on this worker, such as runs there that this owner does not know.
+  location->unit->failed_on.insert(worker_id);
   Release(*location);
   StopOtherMembers(*location);
 }
--- a/src/state/pool/unit_placement.cpp
+++ b/src/state/pool/unit_placement.cpp
@@ -1,8 +1,8 @@
 #include "state/pool/unit_placement.h"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
+#include <utility>
 
 namespace hickorystall::state::pool {
 namespace {
@@ -62,6 +62,15 @@
   return places;
 }
 
+// Returns the number of `places` on workers that `shape` avoids.
+std::int64_t CountAvoided(const capacity_slots& slots, const unit_shape& shape,
+                          const std::vector<int>& places) {
+  if (shape.avoided.empty()) return 0;
+  return std::count_if(places.begin(), places.end(), [&](int place) {
+    return shape.avoided.contains(slots[place].worker->registration.id);
+  });
+}
+
 }  // namespace
 
 bool IsEligible(const worker_entry& worker, const unit_shape& shape) {
@@ -120,14 +129,16 @@
 std::optional<std::vector<int>> PlaceUnit(const capacity_slots& slots, const rack_index& index,
                                           const unit_shape& shape, placement_reach reach) {
   std::optional<std::vector<int>> best;
-  std::int64_t best_free = std::numeric_limits<std::int64_t>::max();
+  std::pair<std::int64_t, std::int64_t> best_cost;
   for (const std::vector<int>* group : PlacementGroups(index, shape, reach)) {
     const std::int64_t free = FreeAccelerators(slots, *group);
-    if (free >= best_free) continue;
+    if (best && std::pair<std::int64_t, std::int64_t>(0, free) >= best_cost) continue;
     std::optional<std::vector<int>> places = PlaceInGroup(slots, index, shape, *group);
     if (!places) continue;
+    const std::pair<std::int64_t, std::int64_t> cost(CountAvoided(slots, shape, *places), free);
+    if (best && cost >= best_cost) continue;
     best = std::move(places);
-    best_free = free;
+    best_cost = cost;
   }
   return best;
 }
--- a/src/state/pool/unit_placement.h
+++ b/src/state/pool/unit_placement.h
@@ -47,7 +47,7 @@
   /// Number of tasks of the step by worker, counted against `step_request::max_per_worker`. Used only if
   /// the step has such a limit.
   std::map<std::string, int> already_on;
-  /// Workers on which the unit has failed; used only if the others do not suffice.
+  /// Workers on which the unit has failed or was refused; used only if the others do not suffice.
   std::set<std::string> avoided;
 };
 
@@ -65,9 +65,10 @@
 int MembersThatFit(const worker_slot& slot, const unit_shape& shape, int limit);
 
 /// Chooses a slot for each member of `shape`. Returns nullopt if they do not all fit. Of the placement groups
-/// that can hold the unit, the one with the fewest free accelerators is used. Within it, workers on which the
-/// unit failed come last, then those with more consecutive failures; the remaining order is the fullest rack
-/// and in it the fullest worker first, so that whole racks and workers stay free for large gangs.
+/// that can hold the unit, the one is used in which the fewest members are placed on avoided workers, and of
+/// these the one with the fewest free accelerators. Within it, workers on which the unit failed come last,
+/// then those with more consecutive failures; the remaining order is the fullest rack and in it the fullest
+/// worker first, so that whole racks and workers stay free for large gangs.
 std::optional<std::vector<int>> PlaceUnit(const capacity_slots& slots, const rack_index& index,
                                           const unit_shape& shape, placement_reach reach);
 
--- /dev/null
+++ b/tests/state/pool/standing_jobs_test.cpp
@@ -0,0 +1,177 @@
+// Tests that no job stands still while the pool has room for it: the planner and the pool state are driven
+// through time, and a monitor checks the users' rule on jobs without a run after each step.
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <set>
+
+#include "state/pool/pool_fixture.h"
+#include "state/pool/unit_placement.h"
+
+namespace hickorystall::tests {
+
+using namespace state::pool;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr char kJob[] = "00000000000000aa";
+constexpr milliseconds kInterval{100};
+
+// Returns whether any task of `job` runs on a worker that replies.
+bool HasRunningTask(const job_entry& job) {
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (const step_progress& step : occurrence.steps) {
+      for (const work_unit& unit : step.units) {
+        for (const unit_member& member : unit.members) {
+          if (member.phase == run_phase::kRunning && member.host->reachable) return true;
+        }
+      }
+    }
+  }
+  return false;
+}
+
+// Returns whether a unit of `step` is not done and every task of the unit fits twice into the free capacity
+// of the workers that may run it.
+bool HasRoomTwice(const pool_state& state, const job_entry& job, const step_request& step) {
+  unit_shape shape;
+  shape.step = &step;
+  const queue_rules* rules = state.RulesOf(job);
+  shape.service = rules == nullptr ? job.submission.service : rules->service;
+  const int needed = 2 * (step.gang ? step.task_count : 1);
+  int fitting = 0;
+  for (const auto& [id, worker] : state.workers()) {
+    if (!worker.listed || !worker.reachable || worker.registration.draining) continue;
+    if (IsEligible(worker, shape)) fitting += MembersThatFit({&worker, worker.Free()}, shape, needed);
+  }
+  return fitting >= needed;
+}
+
+// Returns whether under half of the accelerators and CPU of `service` is in use.
+bool IsUnderHalfUsed(const pool_state& state, const std::string& service) {
+  resources capacity;
+  resources used;
+  for (const auto& [id, worker] : state.workers()) {
+    if (!worker.listed || !worker.reachable || worker.registration.service != service) continue;
+    capacity += worker.registration.capacity;
+    used += worker.registration.capacity;
+    used -= worker.Free();
+  }
+  return 2 * used.accelerators < capacity.accelerators && 2 * used.cpu_millis < capacity.cpu_millis;
+}
+
+// Measures how long jobs break the rule without interruption: a task is ready, nothing of the job runs, twice
+// the capacity for it is free, and under half of its service is in use.
+class standing_monitor {
+ public:
+  void Update(const pool_fixture& pool) {
+    for (const auto& [id, job] : pool.state.open_jobs()) {
+      if (IsFinal(job->phase) || !IsStanding(pool.state, *job)) {
+        since_.erase(job->submission.id);
+        continue;
+      }
+      const auto [found, is_new] = since_.emplace(job->submission.id, pool.now);
+      milliseconds& longest = longest_[job->submission.id];
+      longest = std::max(longest, std::chrono::duration_cast<milliseconds>(pool.now - found->second));
+    }
+  }
+
+  milliseconds Longest(const std::string& job) const {
+    const auto found = longest_.find(job);
+    return found == longest_.end() ? milliseconds(0) : found->second;
+  }
+
+ private:
+  static bool IsStanding(const pool_state& state, const job_entry& job) {
+    if (HasRunningTask(job)) return false;
+    const queue_rules* rules = state.RulesOf(job);
+    if (!IsUnderHalfUsed(state, rules == nullptr ? job.submission.service : rules->service)) return false;
+    for (const auto& [number, occurrence] : job.occurrences) {
+      for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+        const step_progress& step = occurrence.steps[i];
+        if (!step.ready || step.open_units == 0) continue;
+        if (HasRoomTwice(state, job, job.submission.request.steps[i])) return true;
+      }
+    }
+    return false;
+  }
+
+  std::map<std::string, boot_time> since_;
+  std::map<std::string, milliseconds> longest_;
+};
+
+using order_handler = std::function<void(pool_fixture&, const worker_order&)>;
+
+// Accepts each start. The stops have no effect.
+void AcceptStart(pool_fixture& pool, const worker_order& order) { pool.Accept({order}); }
+
+// Plans every `kInterval` for `time`. `handle` receives each order; starts have no other reply.
+void Run(pool_fixture& pool, standing_monitor& monitor, milliseconds time,
+         const order_handler& handle = AcceptStart) {
+  for (milliseconds passed{0}; passed <= time; passed += kInterval) {
+    for (const worker_order& order : pool.Plan()) handle(pool, order);
+    monitor.Update(pool);
+    pool.AdvanceTime(kInterval);
+  }
+}
+
+int CountActive(const pool_fixture& pool, const std::string& job) {
+  int active = 0;
+  for (const auto& [number, occurrence] : pool.state.jobs().at(job).occurrences) {
+    for (const step_progress& step : occurrence.steps) {
+      for (const work_unit& unit : step.units) active += unit.IsIdle() ? 0 : 1;
+    }
+  }
+  return active;
+}
+
+// Limit of the users' rule, less the time that it takes to store and order a start.
+constexpr milliseconds kLongestWait{2200};
+
+}  // namespace
+
+// Shows that a pass may give up a step after the first unit that does not fit: what differs between units of
+// a step (workers on which they failed, saved progress, tasks per worker) decides only the order of workers.
+TEST_CASE("units of one step are placed as long as there is room", "[pool]") {
+  pool_fixture pool(4, 2);
+  standing_monitor monitor;
+  step_request step = pool_fixture::Step(8, 2);
+  step.max_per_worker = 2;
+  step.checkpointable = true;
+  pool.Submit(kJob, step);
+  pool.state.MakeDueOccurrences(pool.now, pool.wall_now);
+  for (int worker = 0; worker < 4; ++worker) {
+    pool.state.FindUnit({kJob, 0, 0, 0})->failed_on.insert(pool_fixture::Worker(worker));
+  }
+  pool.state.FindUnit({kJob, 0, 0, 1})->checkpoint = "saved";
+  pool.state.FindUnit({kJob, 0, 0, 2})->unresolved_workers.insert(pool_fixture::Worker(0));
+  Run(pool, monitor, milliseconds(0));
+  CHECK(CountActive(pool, kJob) == 7);
+}
+
+// Guards against choosing a worker that refuses each start again and again while others are free.
+TEST_CASE("a worker that refuses starts does not hold a job back", "[pool]") {
+  pool_fixture pool(4, 2);
+  standing_monitor monitor;
+  const bool is_gang = GENERATE(false, true);
+  const bool needs_one_rack = GENERATE(false, true);
+  const auto refuse = [](pool_fixture& fixture, const worker_order& order) {
+    if (!order.is_start) {
+      fixture.state.HandleStopReply(order.worker, order.task, order.run);
+      fixture.ApplyLists(order.worker, {});
+      return;
+    }
+    const bool is_refused = order.worker == pool_fixture::Worker(0);
+    fixture.state.HandleStartReply(order.task, order.run,
+                                   is_refused ? start_reply::kRefused : start_reply::kAccepted, fixture.now);
+  };
+  step_request step = pool_fixture::Step(3, 4, is_gang);
+  step.same_rack = needs_one_rack;
+  pool.Submit(kJob, step);
+  Run(pool, monitor, seconds(5), refuse);
+  CHECK(monitor.Longest(kJob) <= kLongestWait);
+}
+
+}  // namespace hickorystall::tests
