Start remotely a job that has had nothing running for 2 s

Cause: a unit waited for near room as long as a remote run takes longer, with no regard to whether anything else of its job ran.

Change: once a job has had nothing running for 2 s, and under 65 % of its service is in use, one of its units starts anywhere. Its other units wait for near room as before, since a remote run takes three times as long and the job no longer stands still. Above that use remote runs would take scarce capacity for three times as long, so the job waits. The users' rule speaks of half; the rest covers that they may count the capacity in use in another way.

--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -22,14 +22,17 @@
 // worker.
 constexpr milliseconds kStallTimeout{3000};
 
-// Time without a running task after which a job may use the headroom. A job must not be without any running
-// task for 3 s while twice the capacity that it needs is free; the difference is left for planning, storing
-// and ordering the start.
+// Time without a running task after which a job may use the headroom and, while much of its service is free,
+// remote workers. A job must not be without any running task for 3 s while twice the
+// capacity that it needs is free; the difference is left for planning, storing and ordering the start.
 constexpr milliseconds kMaxIdleWait{2000};
 
 // Share in use of the capacity of a service, below which the headroom is not kept free from a unit that
 // leaves as much capacity as it takes.
 constexpr double kLowUse = 0.5;
+// Share in use up to which jobs that have been idle for `kMaxIdleWait` start at any worker. The limit of the
+// users' rule is half; the rest covers runs that this owner counts and the users no longer do.
+constexpr double kMediumUse = 0.65;
 
 // Returns `part` as a share of `whole`; 0 if there is nothing of this kind.
 double Share(std::int64_t part, std::int64_t whole) {
@@ -251,6 +254,15 @@
            leaves_headroom(service.usable_free.cpu_millis, cpu_millis, service.usable.cpu_millis);
   }
 
+  // Places a unit of a job that has had nothing running for long while much of its service is free: on any
+  // usable worker. Later units of the job
+  // wait for near room again, since a remote run takes `pool_settings::remote_run_factor` times as long.
+  std::optional<std::vector<int>> PlaceStanding(const waiting_step& entry, const work_unit& unit,
+                                                const unit_shape& shape) {
+    if (!IsIdleForLong(entry, unit) || CapacityFor(entry).Use() >= kMediumUse) return std::nullopt;
+    return PlaceUnit(free_, index_, shape, placement_reach::kAnywhere);
+  }
+
   // Starts the unit `number` of `entry`, or reserves capacity for it that becomes free after stops. Returns
   // false if neither is possible.
   bool TryPlace(const waiting_step& entry, int number) {
@@ -270,6 +282,10 @@
       Start(entry, number, *places, reach);
       return true;
     }
+    if (const auto places = PlaceStanding(entry, unit, shape)) {
+      Start(entry, number, *places, placement_reach::kAnywhere);
+      return true;
+    }
     if (const auto places = PlaceUnit(free_after_stops_, index_, shape, reach)) {
       Reserve(*entry.request, *places);
       plan_.unplaced.push_back({entry.Position(number), wait_cause::kCapacityReserved});
--- a/tests/state/pool/standing_jobs_test.cpp
+++ b/tests/state/pool/standing_jobs_test.cpp
@@ -140,6 +140,53 @@
 
 }  // namespace
 
+// Load: the rack with the data is full, and the rest of the pool is empty. Guards against a job with nothing
+// running that waits for near room until that costs as much as a remote run.
+TEST_CASE("a job whose data rack is full does not stand still", "[pool]") {
+  pool_fixture pool(8, 2);
+  standing_monitor monitor;
+  pool.Submit(kFillingJob, StepWithLabel(2, 8, "rack-0"));
+  Run(pool, monitor, milliseconds(0));
+  step_request step = pool_fixture::Step(3, 4);
+  step.data_rack = "rack-0";
+  pool.Submit(kJob, step);
+  Run(pool, monitor, seconds(5));
+  CHECK(monitor.Longest(kJob) <= kLongestWait);
+  // The other tasks wait for near room, which takes less time than a remote run.
+  CHECK(CountActive(pool, kJob) == 1);
+}
+
+// Load: each rack has a small task. Guards against a gang with nothing running that waits for an empty rack
+// until that costs as much as a run over several racks.
+TEST_CASE("a gang that requests one rack does not stand still while no rack has room", "[pool]") {
+  pool_fixture pool(8, 2);
+  standing_monitor monitor;
+  for (int rack = 0; rack < 4; ++rack) {
+    pool.Submit("000000000000000" + std::to_string(rack),
+                StepWithLabel(1, 1, "rack-" + std::to_string(rack)));
+  }
+  Run(pool, monitor, milliseconds(0));
+  step_request step = pool_fixture::Step(2, 8, true);
+  step.same_rack = true;
+  pool.Submit(kJob, step);
+  Run(pool, monitor, seconds(5));
+  CHECK(monitor.Longest(kJob) <= kLongestWait);
+}
+
+// Load: the data rack is full, and so is most of the pool. A remote run takes capacity for three times as
+// long, so the job waits for near room although some other worker is free.
+TEST_CASE("a job waits for its data rack while most of the pool is in use", "[pool]") {
+  pool_fixture pool(8, 2);
+  standing_monitor monitor;
+  pool.Submit(kFillingJob, pool_fixture::Step(6, 8));
+  Run(pool, monitor, milliseconds(0));
+  step_request step = pool_fixture::Step(1, 4);
+  step.data_rack = "rack-0";
+  pool.Submit(kJob, step);
+  Run(pool, monitor, seconds(5));
+  CHECK(CountActive(pool, kJob) == 0);
+}
+
 // Guards against holding a large gang back for the headroom while more than half of the pool is free, and as
 // much again as the gang needs.
 TEST_CASE("a large gang starts at once while under half of the pool is in use", "[pool]") {
