Let an idle job use reserved capacity

Cause: capacity that is free now is reserved for a gang that waits for a stop. If the stop does not end, the reservation is made anew in each pass, and the other jobs wait as long.

The gang may preempt it.

--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds kStallTimeout{3000};
 
 // Time without a running task after which a job may use the headroom and, while much of its service is free,
-// remote workers. A job must not be without any running task for 3 s while twice the
+// remote and reserved workers. A job must not be without any running task for 3 s while twice the
 // capacity that it needs is free; the difference is left for planning, storing and ordering the start.
 constexpr milliseconds kMaxIdleWait{2000};
 
@@ -108,6 +108,7 @@
       free_.push_back({&worker, free});
     }
     free_after_stops_ = free_;
+    unreserved_ = free_;
   }
 
   // Adds the capacity of runs that are being stopped to `free_after_stops_`, and collects the other active
@@ -255,12 +256,12 @@
   }
 
   // Places a unit of a job that has had nothing running for long while much of its service is free: on any
-  // usable worker. Later units of the job
+  // usable worker, even if its capacity is reserved. Later units of the job
   // wait for near room again, since a remote run takes `pool_settings::remote_run_factor` times as long.
   std::optional<std::vector<int>> PlaceStanding(const waiting_step& entry, const work_unit& unit,
                                                 const unit_shape& shape) {
     if (!IsIdleForLong(entry, unit) || CapacityFor(entry).Use() >= kMediumUse) return std::nullopt;
-    return PlaceUnit(free_, index_, shape, placement_reach::kAnywhere);
+    return PlaceUnit(unreserved_, index_, shape, placement_reach::kAnywhere);
   }
 
   // Starts the unit `number` of `entry`, or reserves capacity for it that becomes free after stops. Returns
@@ -325,9 +326,10 @@
     const resources& need = entry.request->need;
     service_capacity& service = services_[ServiceOf(*entry.job)];
     for (const int place : places) {
-      start.workers.push_back(free_[place].worker->registration.id);
+      start.workers.push_back(unreserved_[place].worker->registration.id);
       if (entry.request->max_per_worker > 0)
         placed_members_.emplace_back(entry.progress, start.workers.back());
+      unreserved_[place].free -= need;
       service.in_use += need;
       free_[place].free -= need;
       free_after_stops_[place].free -= need;
@@ -417,6 +419,8 @@
   // Capacity that is free now, and that is free once all runs being stopped have ended.
   capacity_slots free_;
   capacity_slots free_after_stops_;
+  // As `free_` without the reservations of this pass.
+  capacity_slots unreserved_;
   rack_index index_;
   std::unordered_map<std::string_view, service_capacity> services_;
   // Jobs with a task that runs or is ordered on a reachable worker, including those that this pass starts.
--- a/tests/state/pool/standing_jobs_test.cpp
+++ b/tests/state/pool/standing_jobs_test.cpp
@@ -18,6 +18,7 @@
 
 constexpr char kFillingJob[] = "0000000000000001";
 constexpr char kJob[] = "00000000000000aa";
+constexpr char kUrgentJob[] = "00000000000000bb";
 constexpr milliseconds kInterval{100};
 
 // Returns whether any task of `job` runs on a worker that replies.
@@ -275,6 +276,30 @@
   CHECK(CountActive(pool, kJob) == 7);
 }
 
+// Load: an urgent gang has preempted work, and one stop does not end. Guards against reserving idle workers
+// for the gang as long as that lasts.
+TEST_CASE("a reservation that is not fulfilled does not hold other jobs back", "[pool]") {
+  pool_fixture pool(4, 4);
+  standing_monitor monitor;
+  pool.Submit(kFillingJob, pool_fixture::Step(1, 8), 2);
+  Run(pool, monitor, milliseconds(0));
+  pool.Submit(kUrgentJob, pool_fixture::Step(4, 8, true), 0);
+  Run(pool, monitor, milliseconds(0));
+  pool.Submit(kJob, pool_fixture::Step(1, 1), 1);
+  int starts = 0;
+  Run(pool, monitor, seconds(5), [&](pool_fixture& fixture, const worker_order& order) {
+    if (!order.task.starts_with(kJob)) return;
+    if (order.is_start) {
+      ++starts;
+      fixture.Accept({order});
+    } else {
+      fixture.ApplyLists(order.worker, {}, {{starts, order.task, order.run, end_kind::kStopped, ""}});
+    }
+  });
+  CHECK(starts > 0);
+  CHECK(monitor.Longest(kJob) <= kLongestWait);
+}
+
 // Guards against choosing a worker that refuses each start again and again while others are free.
 TEST_CASE("a worker that refuses starts does not hold a job back", "[pool]") {
   pool_fixture pool(4, 2);
