Use avoided workers as a last resort

Cause: failures of different jobs on a worker count in a row, also those of tasks that fail everywhere. Forty such tasks of up to four attempts make four healthy workers avoided at the same time, so that nothing has a usable worker.

Evidence: "jobs that always fail do not leave others without a worker" showed a wait of 8,000 ms, all that it measures, before.

Change: a job that has had nothing running for 2 s while under 65 % of its service is in use may start on avoided workers if no usable one has room. What counts as a failure of the worker stays as it was.

--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds kStallTimeout{3000};
 
 // Time without a running task after which a job may use the headroom and, while much of its service is free,
-// remote and reserved workers. A job must not be without any running task for 3 s while twice the
+// remote, reserved and avoided workers. A job must not be without any running task for 3 s while twice the
 // capacity that it needs is free; the difference is left for planning, storing and ordering the start.
 constexpr milliseconds kMaxIdleWait{2000};
 
@@ -94,14 +94,17 @@
 
   // Fills the slots and `services_`.
   void CollectWorkers() {
+    capacity_slots avoided;
     for (const auto& [id, worker] : state_.workers()) {
+      const worker_condition condition = worker.Condition(now_);
       if (!worker.listed || !worker.reachable) continue;
       const resources free = worker.Free();
       service_capacity& service = services_[worker.registration.service];
       service.reachable += worker.registration.capacity;
       service.in_use += worker.registration.capacity;
       service.in_use -= free;
-      if (!worker.IsUsable(now_)) continue;
+      if (condition == worker_condition::kAvoided) avoided.push_back({&worker, free});
+      if (condition != worker_condition::kUsable) continue;
       service.usable += worker.registration.capacity;
       service.usable_free += free;
       slot_of_[&worker] = static_cast<int>(free_.size());
@@ -109,6 +112,7 @@
     }
     free_after_stops_ = free_;
     unreserved_ = free_;
+    unreserved_.insert(unreserved_.end(), avoided.begin(), avoided.end());
   }
 
   // Adds the capacity of runs that are being stopped to `free_after_stops_`, and collects the other active
@@ -256,12 +260,15 @@
   }
 
   // Places a unit of a job that has had nothing running for long while much of its service is free: on any
-  // usable worker, even if its capacity is reserved. Later units of the job
+  // usable worker, even if its capacity is reserved, or else also on avoided workers. Later units of the job
   // wait for near room again, since a remote run takes `pool_settings::remote_run_factor` times as long.
   std::optional<std::vector<int>> PlaceStanding(const waiting_step& entry, const work_unit& unit,
                                                 const unit_shape& shape) {
     if (!IsIdleForLong(entry, unit) || CapacityFor(entry).Use() >= kMediumUse) return std::nullopt;
-    return PlaceUnit(unreserved_, index_, shape, placement_reach::kAnywhere);
+    if (auto places = PlaceUnit(unreserved_, index_, shape, placement_reach::kAnywhere)) return places;
+    if (unreserved_.size() == free_.size()) return std::nullopt;
+    if (!unreserved_index_) unreserved_index_ = MakeRackIndex(unreserved_);
+    return PlaceUnit(unreserved_, *unreserved_index_, shape, placement_reach::kAnywhere);
   }
 
   // Starts the unit `number` of `entry`, or reserves capacity for it that becomes free after stops. Returns
@@ -331,6 +338,8 @@
         placed_members_.emplace_back(entry.progress, start.workers.back());
       unreserved_[place].free -= need;
       service.in_use += need;
+      // The slots after these are avoided workers.
+      if (place >= static_cast<int>(free_.size())) continue;
       free_[place].free -= need;
       free_after_stops_[place].free -= need;
       service.usable_free -= need;
@@ -419,9 +428,11 @@
   // Capacity that is free now, and that is free once all runs being stopped have ended.
   capacity_slots free_;
   capacity_slots free_after_stops_;
-  // As `free_` without the reservations of this pass.
+  // As `free_` without the reservations of this pass, followed by the avoided workers.
   capacity_slots unreserved_;
+  // Index of `free_`, and of `unreserved_` once it is needed.
   rack_index index_;
+  std::optional<rack_index> unreserved_index_;
   std::unordered_map<std::string_view, service_capacity> services_;
   // Jobs with a task that runs or is ordered on a reachable worker, including those that this pass starts.
   std::unordered_set<const job_entry*> active_jobs_;
--- a/tests/state/pool/standing_jobs_test.cpp
+++ b/tests/state/pool/standing_jobs_test.cpp
@@ -300,6 +300,26 @@
   CHECK(monitor.Longest(kJob) <= kLongestWait);
 }
 
+// Load: a burst of jobs that fail wherever they run. Guards against avoiding all healthy workers at the same
+// time.
+TEST_CASE("jobs that always fail do not leave others without a worker", "[pool]") {
+  pool_fixture pool(4, 2);
+  standing_monitor monitor;
+  std::map<std::string, std::int64_t> ends;
+  const auto fail = [&](pool_fixture& fixture, const worker_order& order) {
+    if (!order.is_start) return;
+    fixture.Accept({order});
+    if (order.task.starts_with(kJob)) return;
+    fixture.ApplyLists(order.worker, {},
+                       {{++ends[order.worker], order.task, order.run, end_kind::kFailed, ""}});
+  };
+  for (int i = 10; i < 50; ++i) pool.Submit("00000000000000" + std::to_string(i), pool_fixture::Step(1, 1));
+  Run(pool, monitor, milliseconds(0), fail);
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  Run(pool, monitor, seconds(8), fail);
+  CHECK(monitor.Longest(kJob) <= kLongestWait);
+}
+
 // Guards against choosing a worker that refuses each start again and again while others are free.
 TEST_CASE("a worker that refuses starts does not hold a job back", "[pool]") {
   pool_fixture pool(4, 2);
