Make two tests of standing jobs detect their faults

"a run on an unreachable worker does not extend..." left so much capacity free that the unit was within the headroom, so it passed on any code. It now leaves a third free. "a worker that refuses starts..." counted the members of a gang that started only in part as running; it now also requires that all tasks run at the end.

--- a/tests/state/pool/standing_jobs_test.cpp
+++ b/tests/state/pool/standing_jobs_test.cpp
@@ -226,14 +226,17 @@
   REQUIRE(CountActive(pool, kJob) == 2);
   const work_unit& lost = *pool.state.FindUnit({kJob, 0, 0, 0});
   const work_unit& other = *pool.state.FindUnit({kJob, 0, 1, 0});
-  pool.Submit(kFillingJob, pool_fixture::Step(4, 8), 0);
+  // Leaves a third of the capacity free once the other task fails and both workers of the first one's rack
+  // crash, one of which runs a task of this job.
+  pool.Submit(kFillingJob, pool_fixture::Step(5, 8), 0);
   Run(pool, monitor, milliseconds(0));
-  // The other task fails, and both workers of the first one's rack crash.
   pool.ApplyLists(other.members[0].worker, {},
                   {{1, TaskName(kJob, 0, 1, 0), other.last_run, end_kind::kFailed, ""}});
   REQUIRE(other.IsIdle());
   for (const int index : {6, 7}) pool.state.MarkUnreachable(pool_fixture::Worker(index), "timeout", pool.now);
-  Run(pool, monitor, seconds(3));
+  Run(pool, monitor, milliseconds(1000));
+  CHECK(other.IsIdle());
+  Run(pool, monitor, milliseconds(1500));
   CHECK(!lost.IsIdle());
   CHECK(!other.IsIdle());
 }
@@ -341,6 +344,10 @@
   pool.Submit(kJob, step);
   Run(pool, monitor, seconds(5), refuse);
   CHECK(monitor.Longest(kJob) <= kLongestWait);
+  // The members of a gang that does not start completely count as running for a moment.
+  for (const work_unit& unit : pool.state.jobs().at(kJob).occurrences.at(0).steps[0].units) {
+    for (const unit_member& member : unit.members) CHECK(member.phase == run_phase::kRunning);
+  }
 }
 
 }  // namespace hickorystall::tests
