--- a/tests/soak/faulty_store.cpp
+++ b/tests/soak/faulty_store.cpp
@@ -1,5 +1,6 @@
 #include "soak/faulty_store.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -17,6 +18,13 @@
   store_.ApplyNow(transaction);
 }
 
+bool faulty_store::IsRefused(const store_transaction& transaction) const {
+  return std::any_of(transaction.changes.begin(), transaction.changes.end(),
+                     [this](const row_change& change) {
+                       return refused_partition == change.partition || refused_table == change.table;
+                     });
+}
+
 asio::awaitable<transaction_result> faulty_store::Apply(store_transaction transaction, milliseconds timeout) {
   transaction_result result;
   if (is_disconnected) {
@@ -24,6 +32,11 @@
     result.outcome = transaction_outcome::kNotDone;
     co_return result;
   }
+  co_await transport::Sleep(delay);
+  if (IsRefused(transaction)) {
+    result.outcome = transaction_outcome::kNotDone;
+    co_return result;
+  }
   if (std::bernoulli_distribution(late_share)(random_)) {
     const auto delay = milliseconds(std::uniform_int_distribution<int>(50, 2000)(random_));
     const auto executor = co_await asio::this_coro::executor;
@@ -45,6 +58,7 @@
     co_await transport::Sleep(milliseconds(20));
     co_return result;
   }
+  co_await transport::Sleep(delay);
   co_return co_await store_.ReadRange(table, partition, from, to, timeout);
 }
 
@@ -56,6 +70,7 @@
     co_await transport::Sleep(milliseconds(20));
     co_return result;
   }
+  co_await transport::Sleep(delay);
   // Waits in short intervals, so that a disconnection ends the wait.
   const auto end = std::chrono::steady_clock::now() + wait;
   while (true) {
