Let registrations lapse in the soak while all workers are idle

Workers now report their real progress; a constant one had tasks of more than 3 s stopped as stalled.

--- a/tests/soak/faulty_workers.cpp
+++ b/tests/soak/faulty_workers.cpp
@@ -313,11 +313,20 @@
   reply.outcome = order_outcome::kDone;
   reply.lists.incarnation = worker.incarnation;
   reply.lists.clock = Clock();
-  for (const auto& [task, run] : worker.running) reply.lists.running.push_back({task, run.run, "", 50});
+  for (const auto& [task, run] : worker.running) {
+    reply.lists.running.push_back({task, run.run, "", PercentOf(run)});
+  }
   reply.lists.finished = worker.finished;
   co_return reply;
 }
 
+int faulty_workers::PercentOf(const run_model& run) {
+  if (run.gang_size > 1 && !run.is_gang_complete) return 0;
+  const auto share =
+      (BootNow() - run.started_at) * 100 / std::max(milliseconds(1), run.ends_at - run.started_at);
+  return static_cast<int>(std::clamp<std::int64_t>(share, 0, 99));
+}
+
 void faulty_workers::End(const std::string& worker_id, worker_model& worker, const std::string& task,
                          end_kind kind) {
   const std::int64_t run = worker.running.at(task).run;
@@ -356,6 +365,7 @@
       // All members end at the same time, unless one fails.
       for (const member& entry : members) {
         entry.run->is_gang_complete = true;
+        entry.run->started_at = now;
         entry.run->ends_at = now + length;
         entry.run->fails = &entry == &members.front() && first.fails;
       }
--- a/tests/soak/faulty_workers.h
+++ b/tests/soak/faulty_workers.h
@@ -155,6 +155,8 @@
   void End(const std::string& worker_id, worker_model& worker, const std::string& task,
            state::pool::end_kind kind);
   void ExpireEnds(const std::string& worker_id);
+  // Returns the progress that a worker reports for `run`.
+  static int PercentOf(const run_model& run);
   void AddWorker(const std::string& address, const std::string& rack);
   void Register(const std::string& id);
   void Deregister(const std::string& id);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <cmath>
 #include <cstdio>
 #include <functional>
 #include <map>
@@ -52,6 +53,12 @@
 constexpr milliseconds kStallBound{3000};
 // Time for which jobs are submitted after the pool must have recovered.
 constexpr milliseconds kCalmTime{3000};
+// Time in which returned registrations must be read and the list of workers stored, while the owner stays:
+// two pauses of the registry's feed and two retries of the write.
+constexpr milliseconds kRegistrationRecovery{1000};
+constexpr milliseconds kIdleLapseCalmTime{1000};
+// Margin for a planning pass, which forgets workers.
+constexpr milliseconds kIdleMargin{500};
 // Maximum delay of a write or an order that is carried out late.
 constexpr milliseconds kMaxLateness{2000};
 constexpr int kMaxLeavingWorkers = 2;
@@ -110,6 +117,12 @@
   return text;
 }
 
+// Time after which a lease has expired on every worker, whose clock may be slow.
+milliseconds LongestLease(const pool_settings& settings) {
+  const auto lease = static_cast<double>(settings.worker_lease.count());
+  return milliseconds(std::llround(lease * (1.0 + settings.worker_clock_tolerance))) + settings.lease_margin;
+}
+
 // Time after the last fault in which the pool must use all its workers again. The longest wait is that of a
 // task that an earlier owner recorded on a worker that no longer replies: the lease row must stay unchanged
 // for the takeover timeout, then the earlier owner's authority and the longest lease that it may have granted
@@ -117,9 +130,8 @@
 // to take over and for reading the tables and the workers' lists.
 milliseconds RecoveryTime(const ownership_settings& ownership, const pool_settings& pool) {
   constexpr milliseconds kRetries{1000};
-  const milliseconds lease = pool.worker_lease * 103 / 100 + pool.lease_margin;
-  return ownership.takeover_timeout + ownership.authority + ownership.margin + lease + ownership.renewal +
-         kRetries;
+  return ownership.takeover_timeout + ownership.authority + ownership.margin + LongestLease(pool) +
+         ownership.renewal + kRetries;
 }
 
 class soak_run {
@@ -473,30 +485,54 @@
   asio::awaitable<void> ObserveRecovery() {
     const boot_time begin = BootNow();
     boot_time limit = begin + (kind_.has_default_times ? kDefaultTimesSettleTime : kSettleTime);
-    // Each rack filler may have to run in two parts if its rack has lost a worker.
-    if (kind_.has_rack_fillers) limit += 4 * kRackFillerTime;
-    bool has_fillers_left = kind_.has_rack_fillers;
     const boot_time recovered_at =
         std::max(begin, faults_end_) + RecoveryTime(ownership_settings_, pool_settings_);
+    // Each rack filler may have to run in two parts if its rack has lost a worker.
+    if (kind_.has_rack_fillers) limit += 4 * kRackFillerTime;
     stall_monitor stalls(kStallBound, begin);
-    boot_time next_submission = begin;
-    while (BootNow() < recovered_at + kCalmTime || (CountOpen() > 0 && BootNow() < limit)) {
-      if (BootNow() >= next_submission && BootNow() < recovered_at + kCalmTime) {
+    co_await ObserveCalm(stalls, recovered_at, kCalmTime, limit);
+    if (CountOpen() == 0) co_await LapseWhileIdle(stalls);
+    if (CountOpen() > 0)
+      violations_.push_back("lost: " + std::to_string(CountOpen()) + " jobs have not ended, " +
+                            DescribeWorkers());
+    for (std::string& report : stalls.Finish(BootNow())) violations_.push_back(std::move(report));
+  }
+
+  // Submits jobs until `calm_time` after `recovered_at` and waits until all have ended, at most until
+  // `limit`. From `recovered_at` on, none may stand still.
+  asio::awaitable<void> ObserveCalm(stall_monitor& stalls, boot_time recovered_at, milliseconds calm_time,
+                                    boot_time limit) {
+    boot_time next_submission = BootNow();
+    while (BootNow() < recovered_at + calm_time || (CountOpen() > 0 && BootNow() < limit)) {
+      if (BootNow() >= next_submission && BootNow() < recovered_at + calm_time) {
         Submit();
         next_submission = BootNow() + RandomTime(200, 500);
       }
-      if (has_fillers_left && BootNow() >= recovered_at) {
-        has_fillers_left = false;
+      if (are_fillers_due_ && BootNow() >= recovered_at) {
+        are_fillers_due_ = false;
         SubmitRackFillers();
       }
       CountOpen();
       if (BootNow() >= recovered_at) stalls.Update(FindStandingJobs(), BootNow());
       co_await transport::Sleep(milliseconds(50));
     }
-    if (CountOpen() > 0)
-      violations_.push_back("lost: " + std::to_string(CountOpen()) + " jobs have not ended, " +
-                            DescribeWorkers());
-    for (std::string& report : stalls.Finish(BootNow())) violations_.push_back(std::move(report));
+  }
+
+  // Lets registrations lapse and return while nothing runs and all leases have expired, so that the owner may
+  // have forgotten the workers meanwhile. Nobody else joins or leaves.
+  asio::awaitable<void> LapseWhileIdle(stall_monitor& stalls) {
+    co_await transport::Sleep(LongestLease(pool_settings_) + kIdleMargin);
+    const milliseconds lapse = RandomTime(50, 2000);
+    const bool are_writes_refused = Chance(0.5);
+    for (const auto& view : views_) {
+      if (are_writes_refused) view->refused_table = kWorkersTable;
+    }
+    // The list may still be refused when the registrations return.
+    Spawn(workers_.LapseRegistrations(kWorkers, lapse));
+    co_await transport::Sleep(lapse + RandomTime(0, 500));
+    for (const auto& view : views_) view->refused_table.reset();
+    const boot_time recovered_at = BootNow() + kRegistrationRecovery;
+    co_await ObserveCalm(stalls, recovered_at, kIdleLapseCalmTime, recovered_at + kSettleTime);
   }
 
   // Returns the number of jobs that are not final. These are the only ones read again, since final is final.
@@ -527,6 +563,8 @@
   // When the effects of all faults so far have ended.
   boot_time faults_end_{};
   int leaving_ = 0;
+  // True until the rack fillers are submitted.
+  bool are_fillers_due_ = kind_.has_rack_fillers;
   std::vector<std::string> violations_;
   // Destroyed first: its coroutines use all of the above.
   asio::io_context loop_;
