--- a/tests/state/pool/avoided_workers_test.cpp
+++ b/tests/state/pool/standing_jobs_test.cpp
@@ -1,6 +1,6 @@
-// Tests that avoided workers don't keep accepted jobs from starting. A pool whose workers are all idle and
-// all avoided started nothing for up to 10 s in the pool soak (pool-soak --default-times --poison
-// --first-seed 202).
+// Tests that accepted jobs don't stand still beside free capacity. The pool soak found each of these cases:
+// avoided workers (pool-soak --default-times --poison --first-seed 202, and --first-seed 24 with refused
+// starts), and a wait for a near worker (--first-seed 5).
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
@@ -63,6 +63,22 @@
   CHECK(has_started);
 }
 
+TEST_CASE("a job starts elsewhere although the rack of its data is full", "[pool][!mayfail]") {
+  pool_fixture pool(6, 2);
+  step_request step = pool_fixture::Step(16, 1);
+  step.data_rack = "rack-0";
+  step.estimate = milliseconds(11'000);
+  pool.Submit("filler", step);
+  pool.Accept(pool.Plan());
+  pool.Submit("job", step);
+  bool has_started = false;
+  for (milliseconds waited{0}; waited <= kStallBound && !has_started; waited += kStep) {
+    has_started = Starts(pool.Plan(), "job");
+    pool.AdvanceTime(kStep);
+  }
+  CHECK(has_started);
+}
+
 TEST_CASE("a gang starts although each fifth start is refused by an unhealthy worker", "[pool][!mayfail]") {
   pool_fixture pool;
   pool.Submit("gang", pool_fixture::Step(8, 1, true));
