--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -52,7 +52,7 @@
 // Time for which a job may stand still beside free capacity, as the users' rule LOST has it.
 constexpr milliseconds kStallBound{3000};
 // Time for which jobs are submitted after the pool must have recovered.
-constexpr milliseconds kCalmTime{3000};
+constexpr milliseconds kCalmTime{2000};
 // Time in which returned registrations must be read and the list of workers stored, while the owner stays:
 // two pauses of the registry's feed and two retries of the write.
 constexpr milliseconds kRegistrationRecovery{1000};
