--- a/src/coordination/pool/partition_writer.cpp
+++ b/src/coordination/pool/partition_writer.cpp
@@ -228,21 +228,24 @@
     if (row.table == kProgressTable) versions[row.key] = row.version;
   }
   bool is_explained = false;
+  for (const auto& [id, version] : versions) is_explained |= CorrectVersion(std::string(id), version);
+  if (is_explained) return true;
+  // The store may leave out rows that do not exist.
   for (const auto& [id, change] : in_progress_) {
-    const auto job = state_.jobs().find(id);
-    if (job == state_.jobs().end()) continue;
-    // The store may leave out a row that does not exist.
-    const auto found = versions.find(id);
-    const std::int64_t version = found == versions.end() ? 0 : found->second;
-    if (version == job->second.row_version) continue;
-    // An earlier write of this owner was applied and its reply was lost: only the owner of the epoch writes
-    // these rows.
-    job->second.row_version = version;
-    is_explained = true;
+    if (!versions.contains(id)) is_explained |= CorrectVersion(id, 0);
   }
   return is_explained;
 }
 
+// A difference shows that an earlier write of this owner was applied and its reply was lost: only the owner
+// of the epoch writes these rows.
+bool partition_writer::CorrectVersion(const std::string& id, std::int64_t version) {
+  const auto job = state_.jobs().find(id);
+  if (job == state_.jobs().end() || job->second.row_version == version) return false;
+  job->second.row_version = version;
+  return true;
+}
+
 void partition_writer::HandleRefusal(const std::string& reason) {
   const state::pool::boot_time now = BootNow();
   if (!removals_in_progress_.empty()) {
--- a/src/coordination/pool/partition_writer.h
+++ b/src/coordination/pool/partition_writer.h
@@ -71,6 +71,8 @@
   bool IsStored(const std::string& job, std::int64_t change) const;
   // Takes over the versions of the rows after a conflict. Returns false if they do not explain it.
   bool HandleConflict(const transaction_result& result);
+  // Sets the version of the stored row of job `id`. Returns whether it differs from the assumed one.
+  bool CorrectVersion(const std::string& id, std::int64_t version);
 
   const std::string partition_;
   pool_store& store_;
