--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -234,9 +234,9 @@
   }
 
   const service_capacity& CapacityFor(const waiting_step& entry) const {
-    static const service_capacity kNone;
+    static const service_capacity none;
     const auto found = services_.find(ServiceOf(*entry.job));
-    return found == services_.end() ? kNone : found->second;
+    return found == services_.end() ? none : found->second;
   }
 
   // Units of lower priority than 0 leave some capacity free, so that units of priority 0 start without
