--- a/src/coordination/pool/ownership.cpp
+++ b/src/coordination/pool/ownership.cpp
@@ -24,9 +24,7 @@
 
 // Returns the time from now until `end` as it is written into the lease row: a reader adds it to the time at
 // which it reads the row.
-std::int64_t MillisecondsUntil(boot_time end) {
-  return std::max(milliseconds(0), end - BootNow()).count();
-}
+std::int64_t MillisecondsUntil(boot_time end) { return std::max(milliseconds(0), end - BootNow()).count(); }
 
 }  // namespace
 
@@ -130,7 +128,8 @@
   return seen_.lease_seen_at + left + settings_.margin;
 }
 
-// The holder's end does not end the authority of an owner before it, which may be cut off from the store only.
+// The holder's end does not end the authority of an owner before it, which may be cut off from the store
+// only.
 boot_time ownership::FormerAuthorityEnd(boot_time now) const {
   const boot_time holder_end = HasHolderEnded() ? now : LatestEnd(settings_.authority);
   if (seen_.earlier_authority <= milliseconds(0)) return holder_end;
--- a/tests/coordination/pool/ownership_test.cpp
+++ b/tests/coordination/pool/ownership_test.cpp
@@ -135,9 +135,10 @@
     // The former owner renews its lease twice and then falls silent.
     for (int i = 0; i < 3; ++i) {
       written_at = BootNow();
-      store.ApplyNow({{},
-                      {{kOwnershipTable, kEpochKey, R"({"epoch":4})"},
-                       {kOwnershipTable, kLeaseKey, R"({"holder":"x","vm":"x","address":"x:1","epoch":4})"}}});
+      store.ApplyNow(
+          {{},
+           {{kOwnershipTable, kEpochKey, R"({"epoch":4})"},
+            {kOwnershipTable, kLeaseKey, R"({"holder":"x","vm":"x","address":"x:1","epoch":4})"}}});
       co_await transport::Sleep(milliseconds(100));
     }
     co_await transport::Sleep(milliseconds(600));
