Store only silence that no late start can outlast

What callers could see: two runs of one task, or a worker that gets no lease although it replies. Both were found by the review of the stored silence, before it was used by anyone.

Cause: a worker was stored as silent also while a start to it was being repeated. If it restarted under its id, the late start ran longer than the stored end of its leases. And after a write that the store had refused the owner still withheld leases from the workers that the write would have added. A reading of the store's clock was kept across ownerships.

Change: only workers whose runs were all confirmed by the first attempt of this owner's starts are added, and only once a third of their lease has passed, so that a single missed call costs no write. A refused write is undone. The clock is read anew with each takeover. 'Withheld' replaces 'frozen' in the names.

--- a/src/coordination/pool/ownership.cpp
+++ b/src/coordination/pool/ownership.cpp
@@ -192,6 +192,8 @@
     co_await transport::Sleep(kRetryPause);
     co_return;
   }
+  // A reading of an earlier ownership may be from before a restart of the store.
+  store_clock_.reset();
   ReadStoreClock(result, sent_at);
   epoch_ = epoch;
   epoch_version_ = result.version;
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -55,7 +55,7 @@
       executor_(executor),
       state_(settings, epoch),
       writer_(*parts_.store, *parts_.log, *parts_.owner, state_, executor),
-      silence_(*parts_.store, *parts_.owner, state_, executor),
+      silence_(*parts_.store, *parts_.log, *parts_.owner, state_, executor),
       wake_(executor),
       registry_changed_(executor),
       jobs_feed_(*parts_.store, *parts_.log, {kJobsTable, {kJobPartitions.begin(), kJobPartitions.end()}}),
--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -20,8 +20,8 @@
 constexpr milliseconds kOrderTimeout{400};
 // Maximum wait of a renewal for an end. It bounds the age of the known progress and is a sixth of the lease.
 constexpr milliseconds kRenewWait{1000};
-// The same while the lease of the worker is frozen: it must be renewed soon after that ends.
-constexpr milliseconds kFrozenRenewWait{100};
+// The same while leases are withheld from the worker: it must be renewed soon after that ends.
+constexpr milliseconds kWithheldRenewWait{100};
 // Pause between calls to a worker that does not reply.
 constexpr milliseconds kUnreachablePause{400};
 // Pause before an order without a reply is sent again.
@@ -94,12 +94,12 @@
   const std::int64_t incarnation = worker->registration.incarnation;
   std::optional<worker_time> deadline;
   // An unreachable worker gets no new lease: the lease must expire so that its tasks can start elsewhere.
-  if (was_reachable && worker->lists_applied && !worker->tasks.empty() && !worker->lease_frozen)
+  if (was_reachable && worker->lists_applied && !worker->tasks.empty() && !worker->lease_withheld)
     deadline = state_.GrantLease(id, BootNow());
   const bool may_wait = was_reachable && worker->lists_applied;
-  const milliseconds wait = !may_wait              ? milliseconds(0)
-                            : worker->lease_frozen ? kFrozenRenewWait
-                                                   : kRenewWait;
+  const milliseconds wait = !may_wait                ? milliseconds(0)
+                            : worker->lease_withheld ? kWithheldRenewWait
+                                                     : kRenewWait;
   const std::int64_t call_number = state_.NextCallNumber();
   const order_address address = AddressOf(*worker);
   const std::int64_t acknowledged = worker->acknowledged_end;
@@ -128,7 +128,7 @@
   }
   const bool is_same_incarnation = reply.lists.incarnation == incarnation || incarnation == 0;
   const std::int64_t highest = state_.ApplyWorkerLists(id, reply.lists, call_number, BootNow());
-  if (!was_reachable || worker->lease_frozen) silence_.Notify();
+  if (!was_reachable || worker->lease_withheld) silence_.Notify();
   Wake();
   if (highest > acknowledged || !is_same_incarnation) {
     std::set<std::string> jobs;
@@ -161,7 +161,7 @@
   const worker_entry* worker = state_.FindWorker(order.worker);
   // The worker may have given notice or stopped replying while the start was being stored.
   if (worker == nullptr || !MayOrder() || worker->registration.draining || !worker->reachable ||
-      worker->lease_frozen) {
+      worker->lease_withheld) {
     state_.HandleStartReply(order.task, order.run, start_reply::kRefused, BootNow());
     co_return;
   }
--- a/src/coordination/pool/silence_record.cpp
+++ b/src/coordination/pool/silence_record.cpp
@@ -4,6 +4,7 @@
 
 #include "coordination/pool/pool_tables.h"
 #include "transport/async_event.h"
+#include "transport/boot_clock.h"
 
 namespace hickorystall::coordination::pool {
 
@@ -11,22 +12,23 @@
 using nlohmann::json;
 using state::pool::boot_time;
 using std::chrono::milliseconds;
+using transport::BootNow;
 
 namespace {
 
 constexpr milliseconds kReplyTimeout{800};
 constexpr milliseconds kRetryPause{200};
-// Time for which an expired lease stays in the row: until the rows of the jobs that ran there have been
-// rewritten, several takeovers later at the latest.
+// Time for which an expired lease stays in the row: longer than rows of jobs name a worker whose runs have
+// ended.
 constexpr milliseconds kRetention{30'000};
 // Interval at which the row is compared with the state in addition to each notification.
 constexpr milliseconds kCheckInterval{1000};
 
 }  // namespace
 
-silence_record::silence_record(pool_store& store, ownership& owner, state::pool::pool_state& state,
-                               const asio::any_io_executor& executor)
-    : store_(store), owner_(owner), state_(state), wake_(executor) {}
+silence_record::silence_record(pool_store& store, event_log& log, ownership& owner,
+                               state::pool::pool_state& state, const asio::any_io_executor& executor)
+    : store_(store), log_(log), owner_(owner), state_(state), wake_(executor) {}
 
 void silence_record::Stop() {
   stopped_ = true;
@@ -38,7 +40,7 @@
   for (const stored_row& row : rows) {
     if (row.key != kSilentWorkersKey) continue;
     version_ = row.version;
-    must_write_ = true;
+    is_row_unknown_ = true;
     const json value = json::parse(row.value, nullptr, false);
     if (!value.is_object()) continue;
     // A program that does not know the row leaves it unchanged and grants leases all the same.
@@ -53,14 +55,14 @@
   const std::optional<store_clock_reading>& clock = owner_.store_clock();
   if (!clock) stored_.clear();
   for (const auto& [id, expiry] : stored_) bounds[id] = clock->received_at + (expiry - clock->store_time);
-  FreezeLeases();
+  WithholdLeases();
   return bounds;
 }
 
 asio::awaitable<void> silence_record::Run() {
   while (!stopped_) {
     expiry_times wanted = Wanted();
-    if (wanted == stored_ && !must_write_) {
+    if (wanted == stored_ && !is_row_unknown_) {
       co_await wake_.Wait(kCheckInterval);
     } else {
       co_await Store(std::move(wanted));
@@ -77,15 +79,18 @@
   for (const auto& [id, expiry] : stored_) {
     if (!state_.IsReplying(id) && expiry >= oldest) wanted[id] = expiry;
   }
-  for (const auto& [id, bound] : state_.LeasesOfSilentWorkers()) {
+  for (const auto& [id, bound] : state_.LeasesOfSilentWorkers(BootNow())) {
     wanted.emplace(id, clock->store_time + (bound - clock->sent_at));
   }
   return wanted;
 }
 
 asio::awaitable<void> silence_record::Store(expiry_times wanted) {
-  for (const auto& [id, expiry] : wanted) maybe_stored_.insert(id);
-  FreezeLeases();
+  std::set<std::string> added;
+  for (const auto& [id, expiry] : wanted) {
+    if (unconfirmed_.insert(id).second) added.insert(id);
+  }
+  WithholdLeases();
   json expiries = json::object();
   for (const auto& [id, expiry] : wanted) expiries[id] = expiry.count();
   const json value{{"epoch", owner_.epoch()}, {"expire_ms", std::move(expiries)}};
@@ -98,23 +103,29 @@
   if (result.outcome == transaction_outcome::kDone) {
     version_ = result.version;
     stored_ = std::move(wanted);
-    maybe_stored_.clear();
-    must_write_ = false;
-    FreezeLeases();
+    unconfirmed_.clear();
+    is_row_unknown_ = false;
+    WithholdLeases();
     co_return;
   }
-  // After a refusal the row is as before, unless an earlier write is applied late.
-  must_write_ = true;
+  is_row_unknown_ = true;
+  if (result.outcome != transaction_outcome::kUnknown) {
+    for (const std::string& id : added) unconfirmed_.erase(id);
+    WithholdLeases();
+  }
+  log_.Write("scheduler", "silent workers not stored",
+             {{"workers", std::to_string(state_.LeasesOfSilentWorkers(BootNow()).size())},
+              {"outcome", result.outcome == transaction_outcome::kUnknown ? "unknown" : "not_done"}});
   for (const stored_row& row : result.current) {
     if (row.key == kSilentWorkersKey) version_ = row.version;
   }
   co_await transport::Sleep(kRetryPause);
 }
 
-void silence_record::FreezeLeases() {
-  std::set<std::string> workers = maybe_stored_;
+void silence_record::WithholdLeases() {
+  std::set<std::string> workers = unconfirmed_;
   for (const auto& [id, expiry] : stored_) workers.insert(id);
-  state_.FreezeLeases(std::move(workers));
+  state_.WithholdLeases(std::move(workers));
 }
 
 }  // namespace hickorystall::coordination::pool
--- a/src/coordination/pool/silence_record.h
+++ b/src/coordination/pool/silence_record.h
@@ -22,7 +22,7 @@
 class silence_record {
  public:
   /// The arguments must outlive the record.
-  silence_record(pool_store& store, ownership& owner, state::pool::pool_state& state,
+  silence_record(pool_store& store, event_log& log, ownership& owner, state::pool::pool_state& state,
                  const boost::asio::any_io_executor& executor);
 
   /// Reads the row of an earlier owner from `rows`. Returns the times after which no lease of an earlier
@@ -41,19 +41,20 @@
   expiry_times Wanted() const;
   boost::asio::awaitable<void> Store(expiry_times wanted);
   // Withholds leases from all workers that the row may name.
-  void FreezeLeases();
+  void WithholdLeases();
 
   pool_store& store_;
+  event_log& log_;
   ownership& owner_;
   state::pool::pool_state& state_;
   transport::wake_signal wake_;
   // Content of the row as last written or read by this owner.
   expiry_times stored_;
   // Workers that writes with an unknown outcome may have added.
-  std::set<std::string> maybe_stored_;
+  std::set<std::string> unconfirmed_;
   std::int64_t version_ = 0;
   // True while the row may differ from `stored_`, or was written by another owner.
-  bool must_write_ = false;
+  bool is_row_unknown_ = false;
   bool stopped_ = false;
 };
 
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -96,8 +96,8 @@
   /// Returns the number of the next call to a worker. Numbers increase, so that replies can be ordered by
   /// them.
   std::int64_t NextCallNumber() { return ++last_call_number_; }
-  /// The lease of `worker` must not be frozen. Grants a lease at `now` and returns its deadline on the clock
-  /// of `worker`. Extends the lease bound of the worker accordingly.
+  /// The lease of `worker` must not be withheld. Grants a lease at `now` and returns its deadline on the
+  /// clock of `worker`. Extends the lease bound of the worker accordingly.
   worker_time GrantLease(const std::string& worker, boot_time now);
   /// Applies the lists of `worker` that were requested by the call `call_number`. Lists with 500 ends may be
   /// incomplete, so they do not show that an unlisted run has ended. Returns the highest sequence number of
@@ -105,9 +105,13 @@
   std::int64_t ApplyWorkerLists(const std::string& worker, const worker_lists& lists,
                                 std::int64_t call_number, boot_time now);
   /// Withholds leases from `workers` and from no others: their silence may be stored.
-  void FreezeLeases(std::set<std::string> workers);
-  /// Returns the upper bounds of the leases of the workers that do not reply and may have runs.
-  std::map<std::string, boot_time> LeasesOfSilentWorkers() const;
+  void WithholdLeases(std::set<std::string> workers);
+  /// Returns the upper bounds of the leases of the workers with runs that have not replied for some time.
+  /// Leaves out workers to which a start may still be repeated or carried out late: if they restart, the run
+  /// outlasts the bound.
+  std::map<std::string, boot_time> LeasesOfSilentWorkers(boot_time now) const;
+  /// Returns the upper bound of the time from the grant of a lease to its end.
+  std::chrono::milliseconds MaxLeaseTime() const;
   /// Returns whether the worker is known and has replied to the latest call of this owner.
   bool IsReplying(const std::string& worker) const;
   /// Stores a clock reading from any reply of `worker`.
@@ -241,7 +245,7 @@
   // Addresses by id of the workers that the store names.
   std::map<std::string, std::string> recorded_workers_;
   // Workers that must not get a lease.
-  std::set<std::string> frozen_leases_;
+  std::set<std::string> withheld_leases_;
   // Units that cannot start because of an unresolved worker, by worker id.
   std::map<std::string, std::vector<unit_position>> unresolved_units_;
   // Workers that `HaveAllWorkersReplied` waits for.
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -15,9 +15,13 @@
 // A worker lists at most this many ends at a time, so a list of this length may be incomplete.
 constexpr std::size_t kMaxEndsPerReply = 500;
 
+// Part of a lease that is left when its worker may be counted as silent. Leases are renewed each second, so a
+// worker that has missed a single call is not.
+constexpr double kSilentLeaseShare = 2.0 / 3.0;
+
 // Indexed by worker_condition.
 constexpr std::array<std::string_view, kWorkerConditions> kConditionNames{
-    "usable", "unlisted", "not_recorded", "not_read", "unreachable", "lease_frozen", "draining", "avoided"};
+    "usable", "unlisted", "not_recorded", "not_read", "unreachable", "lease_withheld", "draining", "avoided"};
 
 }  // namespace
 
@@ -42,7 +46,7 @@
   worker.registration.incarnation = incarnation;
   worker.listed = true;
   UpdateRecorded(worker);
-  worker.lease_frozen = frozen_leases_.contains(registration.id);
+  worker.lease_withheld = withheld_leases_.contains(registration.id);
   if (worker.clock_read_at == boot_time{}) UpdateWorkerClock(registration.id, registration.clock, now);
   if (!was_listed) AddEvent(pool_event_kind::kWorkerListed, "", "", 0, registration.id, "");
   if (registration.draining && !was_draining) {
@@ -64,7 +68,7 @@
   worker_entry& worker = workers_[id];
   worker.may_have_unlisted_runs = true;
   worker.lease_bound = std::max(worker.lease_bound, lease_bound);
-  worker.lease_frozen = frozen_leases_.contains(id);
+  worker.lease_withheld = withheld_leases_.contains(id);
   if (worker.listed) return;
   worker.registration.id = id;
   worker.registration.address = address;
@@ -80,20 +84,33 @@
   worker.recorded = found != recorded_workers_.end() && found->second == worker.registration.address;
 }
 
-void pool_state::FreezeLeases(std::set<std::string> workers) {
-  frozen_leases_ = std::move(workers);
-  for (auto& [id, worker] : workers_) worker.lease_frozen = frozen_leases_.contains(id);
+void pool_state::WithholdLeases(std::set<std::string> workers) {
+  withheld_leases_ = std::move(workers);
+  for (auto& [id, worker] : workers_) worker.lease_withheld = withheld_leases_.contains(id);
 }
 
-std::map<std::string, boot_time> pool_state::LeasesOfSilentWorkers() const {
+std::map<std::string, boot_time> pool_state::LeasesOfSilentWorkers(boot_time now) const {
   std::map<std::string, boot_time> leases;
   for (const auto& [id, worker] : workers_) {
-    const bool may_run = !worker.tasks.empty() || worker.may_have_unlisted_runs;
-    if (!worker.reachable && may_run) leases[id] = worker.lease_bound;
+    if (worker.reachable || worker.tasks.empty() || worker.may_have_unlisted_runs) continue;
+    const bool was_granted_lately = worker.lease_bound - now > MaxLeaseTime() * kSilentLeaseShare;
+    if (was_granted_lately) continue;
+    const bool may_start_late =
+        std::any_of(worker.tasks.begin(), worker.tasks.end(), [this](const auto& task) {
+          const std::optional<task_location> location = const_cast<pool_state*>(this)->FindTask(task);
+          return !location || !location->member->confirmed || location->member->may_start_late;
+        });
+    if (!may_start_late) leases[id] = worker.lease_bound;
   }
   return leases;
 }
 
+milliseconds pool_state::MaxLeaseTime() const {
+  return milliseconds(std::llround(static_cast<double>(settings_.worker_lease.count()) *
+                                   (1.0 + settings_.worker_clock_tolerance))) +
+         settings_.lease_margin;
+}
+
 bool pool_state::IsReplying(const std::string& id) const {
   const auto found = workers_.find(id);
   return found != workers_.end() && found->second.reachable && found->second.lists_applied;
@@ -101,12 +118,9 @@
 
 worker_time pool_state::GrantLease(const std::string& id, boot_time now) {
   worker_entry& worker = workers_.at(id);
-  assert(!worker.lease_frozen);
+  assert(!worker.lease_withheld);
   const milliseconds lease = settings_.worker_lease;
-  const auto bound = milliseconds(std::llround(static_cast<double>(lease.count()) *
-                                               (1.0 + settings_.worker_clock_tolerance))) +
-                     settings_.lease_margin;
-  worker.lease_bound = std::max(worker.lease_bound, now + bound);
+  worker.lease_bound = std::max(worker.lease_bound, now + MaxLeaseTime());
   // Assumes a slow clock, so that the lease does not outlast the bound.
   const auto since_reading = static_cast<double>((now - worker.clock_read_at).count());
   const auto progress = milliseconds(std::llround(since_reading * (1.0 - settings_.worker_clock_tolerance)));
--- a/src/state/pool/worker_entry.h
+++ b/src/state/pool/worker_entry.h
@@ -102,7 +102,7 @@
   kNotRead,
   kUnreachable,
   /// It may be stored as silent, so it gets no lease.
-  kLeaseFrozen,
+  kLeaseWithheld,
   kDraining,
   /// It is avoided after failures.
   kAvoided,
@@ -133,7 +133,7 @@
   bool reachable = true;
   /// True while the store may name the worker as silent, with the end of its leases. It must not get a lease
   /// then.
-  bool lease_frozen = false;
+  bool lease_withheld = false;
   /// True if the connection of a call was closed in an orderly way, and no reply came since.
   bool closed_a_call = false;
   /// Capacity that runs of known units hold or may hold.
@@ -173,7 +173,7 @@
     if (!recorded) return worker_condition::kNotRecorded;
     if (!lists_applied) return worker_condition::kNotRead;
     if (!reachable) return worker_condition::kUnreachable;
-    if (lease_frozen) return worker_condition::kLeaseFrozen;
+    if (lease_withheld) return worker_condition::kLeaseWithheld;
     if (registration.draining) return worker_condition::kDraining;
     return now < avoided_until ? worker_condition::kAvoided : worker_condition::kUsable;
   }
--- a/tests/coordination/pool/silent_worker_test.cpp
+++ b/tests/coordination/pool/silent_worker_test.cpp
@@ -67,6 +67,33 @@
   co_return holds();
 }
 
+// The worker of the first start crashes before it. A repetition of the start reaches the same id restarted
+// and is executed, but its reply is lost.
+class restarting_worker : public standin_workers {
+ public:
+  asio::awaitable<order_reply> Start(order_address address, std::string task, std::int64_t run,
+                                     std::string payload, std::string checkpoint, worker_time deadline,
+                                     milliseconds timeout) override {
+    if (crashed.empty()) {
+      crashed = address.worker;
+      crashed_at = BootNow();
+      unreachable.insert(crashed);
+    }
+    if (address.worker != crashed) {
+      started_elsewhere_at = BootNow();
+      co_return co_await standin_workers::Start(address, task, run, payload, checkpoint, deadline, timeout);
+    }
+    if (executed_at == boot_time{} && BootNow() - crashed_at > milliseconds(2400)) executed_at = BootNow();
+    co_await transport::Sleep(timeout);
+    co_return order_reply{};
+  }
+
+  std::string crashed;
+  boot_time crashed_at{};
+  boot_time executed_at{};
+  boot_time started_elsewhere_at{};
+};
+
 struct two_vm_fixture {
   two_vm_fixture() {
     store.ApplyNow({{}, {{kConfigTable, "config", "{}"}}});
@@ -228,6 +255,43 @@
   });
 }
 
+// Guards against two runs of one task: the stored end of the leases does not cover a start that a restarted
+// worker executes late.
+TEST_CASE("a worker to which a start may be repeated is not stored as silent", "[pool]") {
+  two_vm_fixture fixture;
+  restarting_worker workers;
+  owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    co_await transport::Sleep(milliseconds(400));
+    SubmitJob(fixture.store);
+    co_await WaitUntil([&] { return workers.executed_at != boot_time{}; }, milliseconds(6000));
+    CHECK_FALSE(fixture.IsStoredAsSilent(workers.crashed));
+    first.Kill();
+    owner_vm second("b", FastOwnership(), LongLeases(), fixture.store, workers, fixture.loop);
+    co_await WaitUntil([&] { return workers.started_elsewhere_at != boot_time{}; }, milliseconds(9000));
+    CHECK(workers.started_elsewhere_at - workers.executed_at > LongLeases().worker_lease);
+    second.Kill();
+  });
+}
+
+// Guards against withholding leases for as long as the store refuses the record, which then names nobody.
+TEST_CASE("a worker whose silence was not stored gets a lease when it replies", "[pool]") {
+  two_vm_fixture fixture;
+  owner_vm vm("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    const std::string worker = co_await fixture.StartJob();
+    fixture.store.refused_table = kWorkersTable;
+    fixture.workers.unreachable.insert(worker);
+    co_await transport::Sleep(milliseconds(2600));
+    fixture.workers.unreachable.clear();
+    int leases = 0;
+    fixture.workers.on_lease = [&](const std::string& id) { leases += id == worker ? 1 : 0; };
+    const bool renewed = co_await WaitUntil([&] { return leases > 0; }, milliseconds(2000));
+    CHECK(renewed);
+    vm.Kill();
+  });
+}
+
 // Guards against trusting a row that the direct predecessor did not write: it may run a program that grants
 // leases without regard to the row.
 TEST_CASE("an outdated record of silence is ignored", "[pool]") {
