Use a returning worker only once the list of workers names it again

What callers could see: a wait for the lease of a worker that a later owner cannot call.

Cause: while a list without an idle worker was being written, the old list still counted, so the worker could return and be used although the row was about to lose its address.

Change: from the sending of a list on, only what the old and the new one have in common counts as stored. Until then that held only after a lost reply.

--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -327,6 +327,13 @@
   transaction.conditions = {{kOwnershipTable, kEpochKey, parts_.owner->epoch_version()},
                             {kWorkersTable, kWorkersKey, workers_version_}};
   transaction.changes = {{kWorkersTable, kWorkersKey, json(addresses).dump()}};
+  // Until the write is confirmed the row holds either list, so only what both have in common is known to be
+  // stored.
+  std::map<std::string, std::string> common;
+  std::set_intersection(state_.recorded_workers().begin(), state_.recorded_workers().end(), addresses.begin(),
+                        addresses.end(), std::inserter(common, common.end()));
+  state_.SetRecordedWorkers(std::move(common));
+  is_workers_row_unknown_ = true;
   const transaction_result result = co_await parts_.store->Apply(std::move(transaction), kReplyTimeout);
   if (stopped_) co_return;
   if (result.outcome == transaction_outcome::kDone) {
@@ -336,14 +343,6 @@
     Wake();
     co_return;
   }
-  if (result.outcome == transaction_outcome::kUnknown) {
-    // The row holds either list, now or later, so only what both have in common is known to be stored.
-    is_workers_row_unknown_ = true;
-    std::map<std::string, std::string> common;
-    std::set_intersection(state_.recorded_workers().begin(), state_.recorded_workers().end(),
-                          addresses.begin(), addresses.end(), std::inserter(common, common.end()));
-    state_.SetRecordedWorkers(std::move(common));
-  }
   for (const stored_row& row : result.current) {
     if (row.key == kWorkersKey) workers_version_ = row.version;
   }
--- a/tests/coordination/pool/worker_return_test.cpp
+++ b/tests/coordination/pool/worker_return_test.cpp
@@ -71,6 +71,21 @@
   return settings;
 }
 
+// Delays the next write of the list of workers.
+class slow_list_store : public memory_store {
+ public:
+  asio::awaitable<transaction_result> Apply(store_transaction transaction, milliseconds timeout) override {
+    if (delay.count() > 0 && transaction.changes.front().key == kWorkersKey) {
+      is_writing = true;
+      co_await transport::Sleep(std::exchange(delay, milliseconds(0)));
+      is_writing = false;
+    }
+    co_return co_await memory_store::Apply(std::move(transaction), timeout);
+  }
+  milliseconds delay{0};
+  bool is_writing = false;
+};
+
 // Runs `scenario` beside an owner with `kWorkers` workers, then submits a job. Returns whether it is started
 // within 3 s.
 bool StartsJobAfter(memory_store& store, std::function<asio::awaitable<void>()> scenario) {
@@ -98,6 +113,28 @@
 
 }  // namespace
 
+// Guards against a start on a worker that the list of workers is about to leave out: a later owner would not
+// know its address.
+TEST_CASE("a worker that returns while the list is written is not used before the next write", "[pool]") {
+  slow_list_store store;
+  int starts_while_writing = 0;
+  CHECK(StartsJobAfter(store, [&]() -> asio::awaitable<void> {
+    store.delay = milliseconds(800);
+    Deregister(store);
+    const auto limit = BootNow() + milliseconds(3000);
+    while (!store.is_writing && BootNow() < limit) co_await transport::Sleep(milliseconds(5));
+    CHECK(store.is_writing);
+    Register(store);
+    SubmitJob(store);
+    while (store.is_writing) {
+      if (store.Value(kProgressTable, "00000000000000aa").find("worker-") != std::string::npos)
+        ++starts_while_writing;
+      co_await transport::Sleep(milliseconds(5));
+    }
+  }));
+  CHECK(starts_while_writing == 0);
+}
+
 // Guards against idle workers that are never used again: the stored list of workers was compared by id, so an
 // entry that was erased and made anew stayed unrecorded until another worker came or went.
 TEST_CASE("workers whose registration lapsed and returned are used again", "[pool]") {
