--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -30,8 +30,8 @@
 // Share in use of the capacity of a service, below which the headroom is not kept free from a unit that
 // leaves as much capacity as it takes.
 constexpr double kLowUse = 0.5;
-// Share in use up to which jobs that have been idle for `kMaxIdleWait` start at any worker. The limit of the
-// users' rule is half; the rest covers runs that this owner counts and the users no longer do.
+// Share in use up to which jobs that have been idle for `kMaxIdleWait` start at any worker. Clients expect a
+// start below half; the rest covers runs that have ended and are not listed yet.
 constexpr double kMediumUse = 0.65;
 
 // Returns `part` as a share of `whole`; 0 if there is nothing of this kind.
--- a/tests/coordination/pool/silent_worker_test.cpp
+++ b/tests/coordination/pool/silent_worker_test.cpp
@@ -127,7 +127,7 @@
 
 }  // namespace
 
-// Guards against a job that stands still after a change of owner: the new owner assumed that its predecessor
+// Guards against a job that waits anew after a change of owner: the new owner assumed that its predecessor
 // had renewed the lease of a silent worker until the end of its authority.
 TEST_CASE("a new owner counts the silence that its predecessor saw", "[pool]") {
   two_vm_fixture fixture;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,7 +1,7 @@
 // Soak test of the pool's owner: three VMs on one store, workers with leases, and random faults that overlap.
 // It checks what clients and workers can observe: no task runs twice at the same time or after its
 // acknowledged end, none exceeds its attempts or a worker's capacity, every accepted job ends once the faults
-// are over, and none stands still beside free capacity.
+// are over, and none waits for long beside free capacity.
 #include <absl/strings/str_cat.h>
 
 #include <CLI/CLI.hpp>
@@ -49,7 +49,7 @@
 constexpr milliseconds kSettleTime{15'000};
 // The same with the default leases and authorities, which are four to five times as long.
 constexpr milliseconds kDefaultTimesSettleTime{60'000};
-// Time for which a job may stand still beside free capacity, as the users' rule LOST has it.
+// Time for which a job may have nothing running beside free capacity.
 constexpr milliseconds kStallBound{3000};
 // Time for which jobs are submitted after the pool must have recovered.
 constexpr milliseconds kCalmTime{2000};
--- a/tests/state/pool/standing_jobs_test.cpp
+++ b/tests/state/pool/standing_jobs_test.cpp
@@ -1,5 +1,5 @@
-// Tests that no job stands still while the pool has room for it: the planner and the pool state are driven
-// through time, and a monitor checks the users' rule on jobs without a run after each step.
+// Tests that no job waits while the pool has room for it: the planner and the pool state are driven through
+// time, and after each step a monitor checks how long each job has had nothing running.
 #include <catch2/catch.hpp>
 #include <functional>
 #include <map>
@@ -136,7 +136,7 @@
   return step;
 }
 
-// Limit of the users' rule, less the time that it takes to store and order a start.
+// Limit of 3 s for a job with nothing running, less the time that it takes to store and order a start.
 constexpr milliseconds kLongestWait{2200};
 
 }  // namespace
