--- a/tests/coordination/pool/silent_worker_test.cpp
+++ b/tests/coordination/pool/silent_worker_test.cpp
@@ -221,7 +221,7 @@
     // The start is planned, but its record is not stored until the worker is known to be silent.
     fixture.store.refused_table = kProgressTable;
     SubmitJob(fixture.store);
-    const auto is_called = [&] { return fixture.workers.endpoints.size() > 0; };
+    const auto is_called = [&] { return !fixture.workers.endpoints.empty(); };
     fixture.workers.endpoints.clear();
     co_await WaitUntil(is_called, milliseconds(2000));
     CHECK(is_called());
