Let both instances know each other before one announces that it leaves

The test 'an instance that announced leaving no longer counts as live' failed once in a sanitized run beside other tests: its last check found 0 live peers in the view of the leaving instance, expected 1.

Cause, in the test: it waited until the first instance knew the second, not the reverse. The second learns of the first by a message of its own; if that was still on its way, its view was empty once it no longer counted itself. Nothing in the program changes.

The test now waits for both views before the announcement, so its checks are at least as strict as before.

--- a/tests/coordination/peer_mesh_test.cpp
+++ b/tests/coordination/peer_mesh_test.cpp
@@ -76,6 +76,8 @@
   instance second("b", "scheduler", {first.mesh.self().endpoint});
   REQUIRE(second.mesh.Start().ok());
   REQUIRE(WaitUntil([&] { return first.mesh.LivePeers("").size() == 2; }));
+  // Each instance learns of the other by a message of its own.
+  REQUIRE(WaitUntil([&] { return second.mesh.LivePeers("").size() == 2; }));
   second.mesh.AnnounceLeaving();
   REQUIRE(WaitUntil([&] { return first.mesh.LivePeers("").size() == 1; }));
   CHECK(second.mesh.LivePeers("").size() == 1);
