Keep the VMs of a test until its loop has ended

The sanitized run of the unit tests ended in a use after free: silent_worker_test.cpp had the second and third VM as locals of a coroutine, while their own coroutines went on until the loop ended. The tests own them outside of it now; their checks are unchanged.

--- a/tests/coordination/pool/silent_worker_test.cpp
+++ b/tests/coordination/pool/silent_worker_test.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
 
 #include "coordination/pool/memory_store.h"
 #include "coordination/pool/owner_vm.h"
@@ -131,6 +132,8 @@
 // had renewed the lease of a silent worker until the end of its authority.
 TEST_CASE("a new owner counts the silence that its predecessor saw", "[pool]") {
   two_vm_fixture fixture;
+  // A VM must outlive the loop.
+  std::unique_ptr<owner_vm> second;
   owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
   fixture.Run([&]() -> asio::awaitable<void> {
     const std::string worker = co_await fixture.StartJob();
@@ -140,20 +143,24 @@
         co_await WaitUntil([&] { return fixture.IsStoredAsSilent(worker); }, milliseconds(3500));
     CHECK(stored);
     first.Kill();
-    owner_vm second("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+    second = std::make_unique<owner_vm>("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers,
+                                        fixture.loop);
     // The last lease is granted within a second and expires 3.3 s later. Counted from the takeover and the
     // end of the authority it would be 6.7 s or more.
     co_await WaitUntil([&] { return fixture.workers.starts > 1; }, milliseconds(8000));
     const milliseconds waited = BootNow() - silent_at;
     CHECK(waited > milliseconds(3000));
     CHECK(waited < milliseconds(5500));
-    second.Kill();
+    second->Kill();
   });
 }
 
 // Guards against a wait that begins anew with each of several owners in a row.
 TEST_CASE("the silence of a worker outlasts an owner that was short", "[pool]") {
   two_vm_fixture fixture;
+  // A VM must outlive the loop.
+  std::unique_ptr<owner_vm> second;
+  std::unique_ptr<owner_vm> third;
   owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
   fixture.Run([&]() -> asio::awaitable<void> {
     const std::string worker = co_await fixture.StartJob();
@@ -163,17 +170,19 @@
         co_await WaitUntil([&] { return fixture.IsStoredAsSilent(worker); }, milliseconds(3500));
     CHECK(stored);
     first.Kill();
-    owner_vm second("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
-    co_await WaitUntil([&] { return second.is_owner(); }, milliseconds(2000));
+    second = std::make_unique<owner_vm>("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers,
+                                        fixture.loop);
+    co_await WaitUntil([&] { return second->is_owner(); }, milliseconds(2000));
     co_await transport::Sleep(milliseconds(800));
     CHECK(fixture.IsStoredAsSilent(worker));
-    second.Kill();
-    owner_vm third("c", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+    second->Kill();
+    third = std::make_unique<owner_vm>("c", FastOwnership(), LongLeases(), fixture.store, fixture.workers,
+                                       fixture.loop);
     co_await WaitUntil([&] { return fixture.workers.starts > 1; }, milliseconds(9000));
     const milliseconds waited = BootNow() - silent_at;
     CHECK(waited > milliseconds(3000));
     CHECK(waited < milliseconds(6500));
-    third.Kill();
+    third->Kill();
   });
 }
 
@@ -241,6 +250,8 @@
 // owner could not call it and waited for its lease.
 TEST_CASE("a new owner calls an unregistered worker at its stored address", "[pool]") {
   two_vm_fixture fixture;
+  // A VM must outlive the loop.
+  std::unique_ptr<owner_vm> second;
   owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
   fixture.Run([&]() -> asio::awaitable<void> {
     const std::string worker = co_await fixture.StartJob();
@@ -248,10 +259,11 @@
     co_await transport::Sleep(milliseconds(300));
     first.Kill();
     fixture.workers.endpoints.clear();
-    owner_vm second("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+    second = std::make_unique<owner_vm>("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers,
+                                        fixture.loop);
     co_await WaitUntil([&] { return fixture.workers.endpoints.contains(worker); }, milliseconds(3000));
     CHECK(fixture.workers.endpoints[worker] == "127.0.0.1:1");
-    second.Kill();
+    second->Kill();
   });
 }
 
@@ -260,6 +272,8 @@
 TEST_CASE("a worker to which a start may be repeated is not stored as silent", "[pool]") {
   two_vm_fixture fixture;
   restarting_worker workers;
+  // A VM must outlive the loop.
+  std::unique_ptr<owner_vm> second;
   owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, workers, fixture.loop);
   fixture.Run([&]() -> asio::awaitable<void> {
     co_await transport::Sleep(milliseconds(400));
@@ -267,10 +281,11 @@
     co_await WaitUntil([&] { return workers.executed_at != boot_time{}; }, milliseconds(6000));
     CHECK_FALSE(fixture.IsStoredAsSilent(workers.crashed));
     first.Kill();
-    owner_vm second("b", FastOwnership(), LongLeases(), fixture.store, workers, fixture.loop);
+    second =
+        std::make_unique<owner_vm>("b", FastOwnership(), LongLeases(), fixture.store, workers, fixture.loop);
     co_await WaitUntil([&] { return workers.started_elsewhere_at != boot_time{}; }, milliseconds(9000));
     CHECK(workers.started_elsewhere_at - workers.executed_at > LongLeases().worker_lease);
-    second.Kill();
+    second->Kill();
   });
 }
 
@@ -296,6 +311,8 @@
 // leases without regard to the row.
 TEST_CASE("an outdated record of silence is ignored", "[pool]") {
   two_vm_fixture fixture;
+  // A VM must outlive the loop.
+  std::unique_ptr<owner_vm> second;
   owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
   fixture.Run([&]() -> asio::awaitable<void> {
     const std::string worker = co_await fixture.StartJob();
@@ -303,10 +320,11 @@
     fixture.store.ApplyNow(
         {{}, {{kWorkersTable, kSilentWorkersKey, R"({"epoch":0,"expire_ms":{"worker-0":1,"worker-1":1}})"}}});
     fixture.workers.unreachable.insert(worker);
-    owner_vm second("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers, fixture.loop);
+    second = std::make_unique<owner_vm>("b", FastOwnership(), LongLeases(), fixture.store, fixture.workers,
+                                        fixture.loop);
     const bool started = co_await WaitUntil([&] { return fixture.workers.starts > 1; }, milliseconds(2500));
     CHECK_FALSE(started);
-    second.Kill();
+    second->Kill();
   });
 }
 
