--- a/tests/coordination/pool/owner_vm.cpp
+++ b/tests/coordination/pool/owner_vm.cpp
@@ -4,6 +4,9 @@
 #include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
+#include "coordination/pool/pool_codec.h"
+#include "coordination/pool/pool_tables.h"
+#include "transport/async_event.h"
 #include "transport/boot_clock.h"
 
 namespace hickorystall::tests {
@@ -57,6 +60,32 @@
 
 }  // namespace
 
+void SubmitTask(memory_store& store, const std::string& id) {
+  job_entry job;
+  job.submission.id = id;
+  job.submission.workspace = "w";
+  job.submission.queue = "q";
+  job.submission.service = "s";
+  job.submission.priority = 1;
+  job.submission.max_attempts = 4;
+  job.submission.stretch = 3.0;
+  job.submission.accepted_at = transport::WallNow();
+  step_request step;
+  step.task_count = 1;
+  step.need = {1000, 1024, 8};
+  step.estimate = std::chrono::seconds(10);
+  job.submission.request.steps = {step};
+  store.ApplyNow({{},
+                  {{kJobsTable, id, EncodeSubmission(job.submission), JobPartition(id)},
+                   {kProgressTable, id, EncodeProgress(job), JobPartition(id)}}});
+}
+
+asio::awaitable<bool> WaitUntil(std::function<bool()> holds, std::chrono::milliseconds limit) {
+  const auto end = BootNow() + limit;
+  while (!holds() && BootNow() < end) co_await transport::Sleep(std::chrono::milliseconds(5));
+  co_return holds();
+}
+
 owner_vm::owner_vm(const std::string& name, ownership_settings ownership, pool_settings pool,
                    pool_store& store, worker_orders& workers, asio::io_context& loop)
     // Names of loggers must be unique, and an earlier incarnation of the VM may still exist.
--- a/tests/coordination/pool/owner_vm.h
+++ b/tests/coordination/pool/owner_vm.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 
+#include "coordination/pool/memory_store.h"
 #include "coordination/pool/pool_owner.h"
 
 namespace hickorystall::tests {
@@ -14,6 +18,12 @@
 /// Value of a registration whose decoder throws.
 inline constexpr char kUndecodable[] = "undecodable";
 
+/// Submits a job with the given id and one task that uses all accelerators of a worker.
+void SubmitTask(memory_store& store, const std::string& id);
+/// Waits until `holds` returns true, at most `limit`. Returns whether it does.
+boost::asio::awaitable<bool> WaitUntil(std::function<bool()> holds,
+                                       std::chrono::milliseconds limit = std::chrono::milliseconds(2000));
+
 /// A VM that may own the pool, with a real ownership, config_follower and pool_owner on the event loop of a
 /// test. Its registrations name workers with 8 accelerators of the service "s"; its configuration has the
 /// queue "q".
--- a/tests/coordination/pool/pool_owner_test.cpp
+++ b/tests/coordination/pool/pool_owner_test.cpp
@@ -43,33 +43,6 @@
   return settings;
 }
 
-void Submit(memory_store& store, const std::string& id) {
-  job_entry job;
-  job.submission.id = id;
-  job.submission.workspace = "w";
-  job.submission.queue = "q";
-  job.submission.service = "s";
-  job.submission.priority = 1;
-  job.submission.max_attempts = 4;
-  job.submission.stretch = 3.0;
-  job.submission.accepted_at = transport::WallNow();
-  step_request step;
-  step.task_count = 1;
-  step.need = {1000, 1024, 8};
-  step.estimate = milliseconds(10'000);
-  job.submission.request.steps = {step};
-  store.ApplyNow({{},
-                  {{kJobsTable, id, EncodeSubmission(job.submission), JobPartition(id)},
-                   {kProgressTable, id, EncodeProgress(job), JobPartition(id)}}});
-}
-
-// Waits until `holds` returns true, for at most `limit`.
-asio::awaitable<bool> WaitUntil(std::function<bool()> holds, milliseconds limit = milliseconds(2000)) {
-  const auto end = BootNow() + limit;
-  while (!holds() && BootNow() < end) co_await transport::Sleep(milliseconds(5));
-  co_return holds();
-}
-
 // A store with a configuration and `worker_count` registered workers, and the loop in which the test runs.
 struct owner_fixture {
   explicit owner_fixture(int worker_count) {
@@ -103,7 +76,7 @@
   };
   owner_vm vm("a", TestOwnership(), TestPool(), fixture.store, fixture.workers, fixture.loop);
   fixture.Run([&]() -> asio::awaitable<void> {
-    Submit(fixture.store, kFirstJob);
+    SubmitTask(fixture.store, kFirstJob);
     const bool started = co_await WaitUntil([&] { return fixture.workers.starts > 0; });
     CHECK(started);
     CHECK(record.find("worker-0") != std::string::npos);
@@ -119,7 +92,7 @@
     const bool owned = co_await WaitUntil([&] { return vm.is_owner(); });
     CHECK(owned);
     co_await transport::Sleep(milliseconds(50));
-    Submit(fixture.store, kFirstJob);
+    SubmitTask(fixture.store, kFirstJob);
     fixture.store.refused_table = kProgressTable;
     co_await transport::Sleep(milliseconds(400));
     CHECK(fixture.workers.starts == 0);
@@ -140,7 +113,7 @@
     CHECK(owned);
     fixture.store.silent_table = kRegistryTable;
     co_await transport::Sleep(milliseconds(2700));
-    Submit(fixture.store, kFirstJob);
+    SubmitTask(fixture.store, kFirstJob);
     co_await transport::Sleep(milliseconds(300));
     CHECK(fixture.workers.starts == 0);
     fixture.store.silent_table.clear();
@@ -159,7 +132,7 @@
     const bool owned = co_await WaitUntil([&] { return vm.is_owner(); });
     CHECK(owned);
     co_await transport::Sleep(milliseconds(50));
-    Submit(fixture.store, kFirstJob);
+    SubmitTask(fixture.store, kFirstJob);
     fixture.store.refused_table = kProgressTable;
     co_await transport::Sleep(milliseconds(100));
     fixture.store.ApplyNow(
@@ -184,7 +157,7 @@
   owner_vm vm("a", TestOwnership(), settings, fixture.store, fixture.workers, fixture.loop);
   const std::string task = TaskName(kFirstJob, 0, 0, 0);
   fixture.Run([&]() -> asio::awaitable<void> {
-    Submit(fixture.store, kFirstJob);
+    SubmitTask(fixture.store, kFirstJob);
     const bool started = co_await WaitUntil([&] { return fixture.workers.starts == 1; });
     CHECK(started);
     co_await transport::Sleep(milliseconds(100));
@@ -207,7 +180,7 @@
   owner_vm vm("a", TestOwnership(), TestPool(), fixture.store, fixture.workers, fixture.loop);
   const std::string task = TaskName(kFirstJob, 0, 0, 0);
   fixture.Run([&]() -> asio::awaitable<void> {
-    Submit(fixture.store, kFirstJob);
+    SubmitTask(fixture.store, kFirstJob);
     const bool started = co_await WaitUntil([&] { return fixture.workers.CountRuns(task) == 1; });
     CHECK(started);
     co_await transport::Sleep(milliseconds(100));
@@ -237,7 +210,7 @@
     const bool owned = co_await WaitUntil([&] { return vm.is_owner(); });
     CHECK(owned);
     fixture.store.ApplyNow({{}, {{kRegistryTable, "worker-worse", kUndecodable}}});
-    Submit(fixture.store, kFirstJob);
+    SubmitTask(fixture.store, kFirstJob);
     const bool started = co_await WaitUntil([&] { return fixture.workers.CountRunsOn("worker-1") == 1; });
     CHECK(started);
     CHECK(vm.is_owner());
@@ -254,8 +227,8 @@
     const bool owned = co_await WaitUntil([&] { return vm.is_owner(); });
     CHECK(owned);
     co_await transport::Sleep(milliseconds(50));
-    Submit(fixture.store, kFirstJob);
-    Submit(fixture.store, kSecondJob);
+    SubmitTask(fixture.store, kFirstJob);
+    SubmitTask(fixture.store, kSecondJob);
     fixture.store.refused_partition = JobPartition(kFirstJob);
     const bool second_runs =
         co_await WaitUntil([&] { return fixture.workers.CountRuns(TaskName(kSecondJob, 0, 0, 0)) == 1; });
@@ -279,7 +252,7 @@
                                            fixture.loop);
   std::unique_ptr<owner_vm> next;
   fixture.Run([&]() -> asio::awaitable<void> {
-    Submit(fixture.store, kFirstJob);
+    SubmitTask(fixture.store, kFirstJob);
     const bool started = co_await WaitUntil([&] { return fixture.workers.starts == 1; });
     CHECK(started);
     co_await transport::Sleep(milliseconds(50));
@@ -289,7 +262,7 @@
                                       fixture.loop);
     const bool owned = co_await WaitUntil([&] { return next->is_owner(); });
     CHECK(owned);
-    Submit(fixture.store, kSecondJob);
+    SubmitTask(fixture.store, kSecondJob);
     const bool second_started = co_await WaitUntil([&] { return fixture.workers.CountRuns(second) == 1; });
     CHECK(second_started);
     co_await transport::Sleep(milliseconds(300));
--- a/tests/coordination/pool/silent_worker_test.cpp
+++ b/tests/coordination/pool/silent_worker_test.cpp
@@ -6,7 +6,6 @@
 
 #include "coordination/pool/memory_store.h"
 #include "coordination/pool/owner_vm.h"
-#include "coordination/pool/pool_codec.h"
 #include "coordination/pool/pool_owner.h"
 #include "coordination/pool/pool_tables.h"
 #include "coordination/pool/standin_workers.h"
@@ -42,32 +41,6 @@
   return settings;
 }
 
-void SubmitJob(memory_store& store) {
-  job_entry job;
-  job.submission.id = kJob;
-  job.submission.workspace = "w";
-  job.submission.queue = "q";
-  job.submission.service = "s";
-  job.submission.priority = 1;
-  job.submission.max_attempts = 4;
-  job.submission.stretch = 3.0;
-  job.submission.accepted_at = transport::WallNow();
-  step_request step;
-  step.task_count = 1;
-  step.need = {1000, 1024, 8};
-  step.estimate = milliseconds(10'000);
-  job.submission.request.steps = {step};
-  store.ApplyNow({{},
-                  {{kJobsTable, kJob, EncodeSubmission(job.submission), JobPartition(kJob)},
-                   {kProgressTable, kJob, EncodeProgress(job), JobPartition(kJob)}}});
-}
-
-asio::awaitable<bool> WaitUntil(std::function<bool()> holds, milliseconds limit) {
-  const auto end = BootNow() + limit;
-  while (!holds() && BootNow() < end) co_await transport::Sleep(milliseconds(5));
-  co_return holds();
-}
-
 // The worker of the first start crashes before it. A repetition of the start reaches the same id restarted
 // and is executed, but its reply is lost.
 class restarting_worker : public standin_workers {
@@ -105,7 +78,7 @@
 
   // Waits until the job runs and returns its worker.
   asio::awaitable<std::string> StartJob() {
-    SubmitJob(store);
+    SubmitTask(store, kJob);
     co_await WaitUntil([this] { return workers.starts > 0; }, milliseconds(2000));
     co_return workers.CountRunsOn("worker-0") > 0 ? "worker-0" : "worker-1";
   }
@@ -229,7 +202,7 @@
     co_await transport::Sleep(milliseconds(100));
     // The start is planned, but its record is not stored until the worker is known to be silent.
     fixture.store.refused_table = kProgressTable;
-    SubmitJob(fixture.store);
+    SubmitTask(fixture.store, kJob);
     const auto is_called = [&] { return !fixture.workers.endpoints.empty(); };
     fixture.workers.endpoints.clear();
     co_await WaitUntil(is_called, milliseconds(2000));
@@ -277,7 +250,7 @@
   owner_vm first("a", FastOwnership(), LongLeases(), fixture.store, workers, fixture.loop);
   fixture.Run([&]() -> asio::awaitable<void> {
     co_await transport::Sleep(milliseconds(400));
-    SubmitJob(fixture.store);
+    SubmitTask(fixture.store, kJob);
     co_await WaitUntil([&] { return workers.executed_at != boot_time{}; }, milliseconds(6000));
     CHECK_FALSE(fixture.IsStoredAsSilent(workers.crashed));
     first.Kill();
--- a/tests/coordination/pool/takeover_wait_test.cpp
+++ b/tests/coordination/pool/takeover_wait_test.cpp
@@ -40,32 +40,6 @@
   return settings;
 }
 
-void Submit(memory_store& store) {
-  job_entry job;
-  job.submission.id = kJob;
-  job.submission.workspace = "w";
-  job.submission.queue = "q";
-  job.submission.service = "s";
-  job.submission.priority = 1;
-  job.submission.max_attempts = 4;
-  job.submission.stretch = 3.0;
-  job.submission.accepted_at = transport::WallNow();
-  step_request step;
-  step.task_count = 1;
-  step.need = {1000, 1024, 8};
-  step.estimate = milliseconds(10'000);
-  job.submission.request.steps = {step};
-  store.ApplyNow({{},
-                  {{kJobsTable, kJob, EncodeSubmission(job.submission), JobPartition(kJob)},
-                   {kProgressTable, kJob, EncodeProgress(job), JobPartition(kJob)}}});
-}
-
-asio::awaitable<bool> WaitUntil(std::function<bool()> holds, milliseconds limit) {
-  const auto end = BootNow() + limit;
-  while (!holds() && BootNow() < end) co_await transport::Sleep(milliseconds(5));
-  co_return holds();
-}
-
 // Two workers with room for one task each. A VM owns the pool and runs the only task on one of them.
 struct takeover_fixture {
   takeover_fixture() {
@@ -83,7 +57,7 @@
   void Run(std::function<asio::awaitable<void>()> work) {
     const auto run = [&]() -> asio::awaitable<void> {
       owner_vm& first = StartVm("a");
-      Submit(store);
+      SubmitTask(store, kJob);
       const bool is_started = co_await WaitUntil([&] { return workers.starts == 1; }, milliseconds(2000));
       REQUIRE(is_started);
       co_await transport::Sleep(milliseconds(100));
--- a/tests/coordination/pool/worker_return_test.cpp
+++ b/tests/coordination/pool/worker_return_test.cpp
@@ -35,27 +35,6 @@
   for (int i = 0; i < kWorkers; ++i) store.ApplyNow({{}, {{kRegistryTable, WorkerId(i), std::nullopt}}});
 }
 
-void SubmitJob(memory_store& store) {
-  job_entry job;
-  job.submission.id = "00000000000000aa";
-  job.submission.workspace = "w";
-  job.submission.queue = "q";
-  job.submission.service = "s";
-  job.submission.priority = 1;
-  job.submission.max_attempts = 4;
-  job.submission.stretch = 3.0;
-  job.submission.accepted_at = transport::WallNow();
-  step_request step;
-  step.task_count = 1;
-  step.need = {1000, 1024, 8};
-  step.estimate = milliseconds(10'000);
-  job.submission.request.steps = {step};
-  const std::string& id = job.submission.id;
-  store.ApplyNow({{},
-                  {{kJobsTable, id, EncodeSubmission(job.submission), JobPartition(id)},
-                   {kProgressTable, id, EncodeProgress(job), JobPartition(id)}}});
-}
-
 ownership_settings FastOwnership() {
   ownership_settings settings;
   settings.renewal = milliseconds(20);
@@ -98,7 +77,7 @@
   const auto run = [&]() -> asio::awaitable<void> {
     co_await transport::Sleep(milliseconds(500));
     co_await scenario();
-    SubmitJob(store);
+    SubmitTask(store, "00000000000000aa");
     const auto limit = BootNow() + milliseconds(3000);
     while (workers.starts == 0 && BootNow() < limit) co_await transport::Sleep(milliseconds(10));
     is_started = workers.starts > 0;
@@ -125,7 +104,7 @@
     while (!store.is_writing && BootNow() < limit) co_await transport::Sleep(milliseconds(5));
     CHECK(store.is_writing);
     Register(store);
-    SubmitJob(store);
+    SubmitTask(store, "00000000000000aa");
     while (store.is_writing) {
       if (store.Value(kProgressTable, "00000000000000aa").find("worker-") != std::string::npos)
         ++starts_while_writing;
