Grant a lease only to an incarnation that has just replied

Cause: a deadline is a time on the clock of one incarnation of a worker, and the clock starts anew with each. The owner computed the deadline of a start once and repeated the order for up to 2.8 s, without asking whether the worker was still the same. An idle worker isn't called, so its crash isn't noticed. The repeated start reached the next incarnation before its registration, whose clock was far behind the deadline.

Change: - A start or a renewal grants a lease only if the known incarnation has replied within 250 ms, and a start is repeated only after a later reply. Otherwise the worker is asked first, with a call that grants nothing. - The bound follows from what was answered: the time between the clock in a reply and the deadline, at most the longest lease. A restart extends it by the orders that had no reply. worker_lease has the derivation and all of the arithmetic. - A start that was never sent is given up after 1 s, so that its task starts at another worker. Nothing was sent, so nothing waits for a lease.

--- a/src/coordination/pool/pool_dump.cpp
+++ b/src/coordination/pool/pool_dump.cpp
@@ -19,7 +19,7 @@
               {"reachable", worker.reachable},
               {"known", !worker.may_have_unlisted_runs},
               {"failures_in_row", worker.failures_in_row},
-              {"lease_bound_ms", worker.lease_bound.time_since_epoch().count()},
+              {"lease_bound_ms", worker.lease.bound().time_since_epoch().count()},
               {"free_accelerators", worker.Free().accelerators},
               {"free_cpu_millis", worker.Free().cpu_millis},
               {"tasks", worker.tasks}};
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -191,11 +191,8 @@
     ApplyGuarded("unreadable registration", row, [this, &row] { ApplyRegistryRow(row); });
   }
   registry_feed_.Begin(listed.version, read_at);
-  const milliseconds lease = state_.settings().worker_lease;
-  const auto tolerance = milliseconds(static_cast<std::int64_t>(static_cast<double>(lease.count()) *
-                                                                state_.settings().worker_clock_tolerance));
   const boot_time authority_end = parts_.owner->predecessor_authority_end();
-  const boot_time bound = authority_end + lease + tolerance + state_.settings().lease_margin;
+  const boot_time bound = authority_end + MaxElapsedTime(state_.settings(), state_.settings().worker_lease);
   std::map<std::string, std::string> addresses;
   for (const stored_row& row : recorded.rows) {
     if (row.key != kWorkersKey) continue;
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -79,6 +80,16 @@
   boost::asio::awaitable<void> PlanLoop();
   boost::asio::awaitable<void> RunSession(std::string worker);
   boost::asio::awaitable<bool> RenewWorker(std::string worker);
+  // Returns whether the known incarnation of `worker` replied lately, and after `time`. If it did not, asks
+  // it with a call that neither grants a lease nor acknowledges ends, since another incarnation may receive
+  // it.
+  boost::asio::awaitable<bool> ConfirmIncarnation(std::string worker, state::pool::boot_time time);
+  boost::asio::awaitable<void> AskIncarnation(std::string worker);
+  // Handles a call for the lists of `worker` that did not return them.
+  void HandleFailedCall(const std::string& worker, const lists_reply& reply);
+  // Sends a start once. Its lease ends at `deadline`, which the first attempt sets.
+  boost::asio::awaitable<order_reply> TryStart(const state::pool::worker_order& order,
+                                               std::optional<state::pool::worker_time>& deadline);
   boost::asio::awaitable<void> SendStarts(std::string job, std::vector<state::pool::worker_order> orders);
   boost::asio::awaitable<void> SendStart(state::pool::worker_order order);
   boost::asio::awaitable<void> SendStop(state::pool::worker_order order);
@@ -123,6 +134,8 @@
   bool is_workers_row_unknown_ = false;
   // Workers for which RunSession is active.
   std::set<std::string> sessions_;
+  // Calls of AskIncarnation that have no reply yet, by worker. Notified at their end.
+  std::map<std::string, std::shared_ptr<transport::wake_signal>> incarnation_calls_;
   state::pool::wait_monitor waits_;
   // When `waits_` was last updated.
   state::pool::boot_time waits_updated_at_{};
--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -26,6 +26,13 @@
 constexpr milliseconds kUnreachablePause{400};
 // Pause before an order without a reply is sent again.
 constexpr milliseconds kOrderRetryPause{100};
+// Maximum age of the latest reply of a worker that is granted a lease. A deadline that reaches a later
+// incarnation of the worker grants the longest possible lease, so a worker must not be able to restart within
+// this time. Workers are down for a second or more when they restart.
+constexpr milliseconds kMaxReplyAge{250};
+// Time after which a start that was never sent is given up, so that its unit starts at another worker. It
+// allows for one lost reply: its timeout, the pause of the session, and a retry.
+constexpr milliseconds kUnsentStartTimeout{1000};
 // Time allowed for storing ends. When it has passed, the worker's lists are read again without acknowledging
 // the ends.
 constexpr milliseconds kStoreWait{500};
@@ -71,6 +78,18 @@
   Wake();
 }
 
+void pool_owner::HandleFailedCall(const std::string& id, const lists_reply& reply) {
+  if (reply.outcome == order_outcome::kFenced) {
+    Stop();
+    parts_.owner->Lose(absl::StrCat("worker ", id, " has seen a later owner"));
+  } else if (reply.outcome == order_outcome::kIncarnationMismatch) {
+    state_.HandleIncarnationMismatch(id);
+    Wake();
+  } else {
+    HandleNoReply(id, reply);
+  }
+}
+
 // Calls one worker repeatedly while it has work: reads its lists, acknowledges ends and renews its lease.
 asio::awaitable<void> pool_owner::RunSession(std::string id) {
   while (!stopped_) {
@@ -92,17 +111,22 @@
   worker_entry* worker = state_.FindWorker(id);
   const bool was_reachable = worker->reachable;
   const std::int64_t incarnation = worker->registration.incarnation;
-  std::optional<worker_time> deadline;
   // An unreachable worker gets no new lease: the lease must expire so that its tasks can start elsewhere.
-  if (was_reachable && worker->lists_applied && !worker->tasks.empty() && !worker->lease_withheld)
+  const bool is_confirmed =
+      was_reachable && worker->lists_applied && co_await ConfirmIncarnation(id, boot_time{});
+  if (stopped_) co_return false;
+  worker = state_.FindWorker(id);
+  if (worker == nullptr || worker->reachable != was_reachable) co_return false;
+  std::optional<worker_time> deadline;
+  if (is_confirmed && !worker->tasks.empty() && !worker->lease_withheld)
     deadline = state_.GrantLease(id, BootNow());
-  const bool may_wait = was_reachable && worker->lists_applied;
-  const milliseconds wait = !may_wait                ? milliseconds(0)
+  const milliseconds wait = !is_confirmed            ? milliseconds(0)
                             : worker->lease_withheld ? kWithheldRenewWait
                                                      : kRenewWait;
   const std::int64_t call_number = state_.NextCallNumber();
   const order_address address = AddressOf(*worker);
   const std::int64_t acknowledged = worker->acknowledged_end;
+  const boot_time sent_at = BootNow();
   lists_reply reply;
   try {
     reply = co_await parts_.orders->Renew(address, acknowledged, deadline, wait, kOrderTimeout);
@@ -112,20 +136,13 @@
   if (stopped_) co_return false;
   worker = state_.FindWorker(id);
   if (worker == nullptr) co_return false;
-  if (reply.outcome == order_outcome::kFenced) {
-    Stop();
-    parts_.owner->Lose(absl::StrCat("worker ", id, " has seen a later owner"));
-    co_return false;
-  }
-  if (reply.outcome == order_outcome::kIncarnationMismatch) {
-    state_.HandleIncarnationMismatch(id);
-    Wake();
-    co_return false;
-  }
   if (reply.outcome != order_outcome::kDone) {
-    HandleNoReply(id, reply);
+    const bool may_execute = reply.outcome == order_outcome::kNoReply;
+    if (deadline && may_execute) state_.HandleUnansweredGrant(id, incarnation, sent_at);
+    HandleFailedCall(id, reply);
     co_return false;
   }
+  if (deadline) state_.HandleGrantReply(id, *deadline, reply.lists.clock, BootNow());
   const bool is_same_incarnation = reply.lists.incarnation == incarnation || incarnation == 0;
   const std::int64_t highest = state_.ApplyWorkerLists(id, reply.lists, call_number, BootNow());
   if (!was_reachable || worker->lease_withheld) silence_.Notify();
@@ -147,6 +164,44 @@
   co_return true;
 }
 
+asio::awaitable<bool> pool_owner::ConfirmIncarnation(std::string id, boot_time time) {
+  const auto is_confirmed = [this, &id, time] {
+    return !stopped_ && state_.HasRepliedSince(id, std::max(time, BootNow() - kMaxReplyAge));
+  };
+  if (is_confirmed()) co_return true;
+  // A session calls an unreachable worker until it replies.
+  const worker_entry* worker = state_.FindWorker(id);
+  if (worker == nullptr || !worker->reachable || !MayOrder()) co_return false;
+  const auto call = incarnation_calls_.find(id);
+  if (call != incarnation_calls_.end()) {
+    const std::shared_ptr<transport::wake_signal> end = call->second;
+    co_await end->Wait(kOrderTimeout);
+  } else {
+    const auto end = std::make_shared<transport::wake_signal>(executor_);
+    incarnation_calls_.emplace(id, end);
+    co_await AskIncarnation(id);
+    incarnation_calls_.erase(id);
+    end->Notify();
+  }
+  co_return is_confirmed();
+}
+
+asio::awaitable<void> pool_owner::AskIncarnation(std::string id) {
+  const order_address address = AddressOf(*state_.FindWorker(id));
+  lists_reply reply;
+  try {
+    reply = co_await parts_.orders->Renew(address, 0, std::nullopt, milliseconds(0), kOrderTimeout);
+  } catch (const std::exception& failure) {
+    LogFailedCall(id, failure);
+  }
+  if (stopped_ || state_.FindWorker(id) == nullptr) co_return;
+  if (reply.outcome != order_outcome::kDone) {
+    HandleFailedCall(id, reply);
+  } else {
+    state_.HandleIncarnationReply(id, reply.lists.incarnation, reply.lists.clock, BootNow());
+  }
+}
+
 // A later owner must know which workers to ask before it starts the same units, so the starts are recorded
 // before they are sent.
 asio::awaitable<void> pool_owner::SendStarts(std::string job, std::vector<worker_order> orders) {
@@ -156,8 +211,36 @@
   for (worker_order& order : orders) Spawn(SendStart(std::move(order)));
 }
 
+asio::awaitable<order_reply> pool_owner::TryStart(const worker_order& order,
+                                                  std::optional<worker_time>& deadline) {
+  order_reply reply;
+  reply.outcome = order_outcome::kNotSent;
+  const worker_entry* worker = state_.FindWorker(order.worker);
+  if (worker == nullptr || worker->lease_withheld || !MayOrder()) co_return reply;
+  const order_address address = AddressOf(*worker);
+  const std::int64_t incarnation = worker->registration.incarnation;
+  // Retries keep the deadline, so that they do not extend the lease.
+  if (!deadline) deadline = state_.GrantLease(order.worker, BootNow());
+  const boot_time sent_at = BootNow();
+  try {
+    reply = co_await parts_.orders->Start(address, order.task, order.run, order.payload, order.checkpoint,
+                                          *deadline, kOrderTimeout);
+  } catch (const std::exception& failure) {
+    LogFailedCall(order.worker, failure);
+    reply = order_reply{};
+  }
+  if (stopped_) co_return reply;
+  if (reply.clock) state_.HandleGrantReply(order.worker, *deadline, *reply.clock, BootNow());
+  if (reply.outcome == order_outcome::kNoReply) {
+    state_.MarkStartUnanswered(order.task, order.run);
+    state_.HandleUnansweredGrant(order.worker, incarnation, sent_at);
+  }
+  HandleReply(order.worker, reply);
+  co_return reply;
+}
+
 asio::awaitable<void> pool_owner::SendStart(worker_order order) {
-  const boot_time retry_end = BootNow() + state_.settings().gang_timeout;
+  const boot_time begin = BootNow();
   const worker_entry* worker = state_.FindWorker(order.worker);
   // The worker may have given notice or stopped replying while the start was being stored.
   if (worker == nullptr || !MayOrder() || worker->registration.draining || !worker->reachable ||
@@ -165,34 +248,24 @@
     state_.HandleStartReply(order.task, order.run, start_reply::kRefused, BootNow());
     co_return;
   }
-  const order_address address = AddressOf(*worker);
-  // Retries keep the deadline, so that they do not extend the lease.
-  const worker_time deadline = state_.GrantLease(order.worker, BootNow());
-  bool outcome_unknown = false;
+  std::optional<worker_time> deadline;
+  // Time of the latest attempt without a reply; zero if there was none.
+  boot_time unanswered_at{};
   while (!stopped_ && state_.IsOrderDue(order)) {
     order_reply reply;
     reply.outcome = order_outcome::kNotSent;
-    if (MayOrder()) {
-      try {
-        reply = co_await parts_.orders->Start(address, order.task, order.run, order.payload, order.checkpoint,
-                                              deadline, kOrderTimeout);
-      } catch (const std::exception& failure) {
-        LogFailedCall(order.worker, failure);
-        reply.outcome = order_outcome::kNoReply;
-      }
-    }
-    if (stopped_) co_return;
-    HandleReply(order.worker, reply);
+    // An attempt is repeated only after a reply to a later call: the worker may restart meanwhile.
+    const bool is_confirmed = co_await ConfirmIncarnation(order.worker, unanswered_at);
+    if (stopped_ || !state_.IsOrderDue(order)) co_return;
+    if (is_confirmed) reply = co_await TryStart(order, deadline);
     if (stopped_) co_return;
     if (reply.outcome == order_outcome::kIncarnationMismatch) {
       state_.HandleIncarnationMismatch(order.worker);
       Wake();
       co_return;
     }
-    if (reply.outcome == order_outcome::kNoReply) {
-      outcome_unknown = true;
-      state_.MarkStartUnanswered(order.task, order.run);
-    }
+    if (reply.outcome == order_outcome::kNoReply) unanswered_at = BootNow();
+    const bool is_unanswered = unanswered_at != boot_time{};
     const bool is_open = reply.outcome == order_outcome::kNoReply || reply.outcome == order_outcome::kNotSent;
     if (!is_open) {
       const bool refused = reply.outcome != order_outcome::kDone;
@@ -206,16 +279,18 @@
       }
       // An earlier attempt without a reply may still be executed, so only a stop settles the run.
       const start_reply result = !refused                                     ? start_reply::kAccepted
-                                 : outcome_unknown                            ? start_reply::kNoReply
+                                 : is_unanswered                              ? start_reply::kNoReply
                                  : reply.outcome == order_outcome::kUnhealthy ? start_reply::kWorkerUnhealthy
                                                                               : start_reply::kRefused;
       state_.HandleStartReply(order.task, order.run, result, BootNow());
       Wake();
       co_return;
     }
-    if (BootNow() >= retry_end) {
+    const milliseconds limit = is_unanswered ? state_.settings().gang_timeout
+                                             : std::min(kUnsentStartTimeout, state_.settings().gang_timeout);
+    if (BootNow() - begin >= limit) {
       state_.HandleStartReply(order.task, order.run,
-                              outcome_unknown ? start_reply::kNoReply : start_reply::kRefused, BootNow());
+                              is_unanswered ? start_reply::kNoReply : start_reply::kRefused, BootNow());
       Wake();
       co_return;
     }
--- a/src/state/pool/pool_plan.cpp
+++ b/src/state/pool/pool_plan.cpp
@@ -182,7 +182,7 @@
   bool IsStalled(const unit_member& member, const worker_entry& worker) const {
     // A gang member at 100 percent waits for the other members.
     return member.phase == run_phase::kRunning && worker.reachable && member.percent < 100 &&
-           worker.clock_read_at - member.progress_at > kStallTimeout;
+           worker.lease.clock_read_at() - member.progress_at > kStallTimeout;
   }
 
   milliseconds RemainingTime(const running_unit& entry, const unit_member& member) const {
--- a/src/state/pool/pool_settings.h
+++ b/src/state/pool/pool_settings.h
@@ -9,6 +9,8 @@
 struct pool_settings {
   /// Lease that each order and each renewal grants to the runs on a worker.
   std::chrono::milliseconds worker_lease{6000};
+  /// Longest lease that a worker accepts. It shortens longer ones to this.
+  std::chrono::milliseconds max_worker_lease{6000};
   /// Factor by which a task takes longer outside its rack or away from its data.
   double remote_run_factor = 3.0;
   /// Time within which all members of a gang must have started.
@@ -35,6 +37,9 @@
   double worker_clock_tolerance = 0.03;
   /// Added to the bound of a lease for delays in reading the clocks: ten scheduling delays of a busy VM.
   std::chrono::milliseconds lease_margin{200};
+  /// Time after the sending of an order without a reply within which a worker may still execute it. The
+  /// platform says "seconds later", and its bench delays orders by up to 12 s.
+  std::chrono::milliseconds max_order_delay{12'000};
   /// Number of consecutive failures after which a worker is avoided. A single one may be the fault of the
   /// task.
   int failures_before_avoiding = 2;
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -114,6 +114,16 @@
   std::chrono::milliseconds MaxLeaseTime() const;
   /// Returns whether the worker is known and has replied to the latest call of this owner.
   bool IsReplying(const std::string& worker) const;
+  /// Returns whether `worker` has replied at `time` or later and to each call since.
+  bool HasRepliedSince(const std::string& worker, boot_time time) const;
+  /// Handles a reply of `incarnation` of `worker` that confirms that this incarnation runs. Does nothing if
+  /// another one is known: that is for its complete lists to show.
+  void HandleIncarnationReply(const std::string& worker, std::int64_t incarnation, worker_time clock,
+                              boot_time now);
+  /// Handles the reply to an order that grants a lease until `deadline`.
+  void HandleGrantReply(const std::string& worker, worker_time deadline, worker_time clock, boot_time now);
+  /// Handles that an order that grants a lease to `incarnation` of `worker` has no reply.
+  void HandleUnansweredGrant(const std::string& worker, std::int64_t incarnation, boot_time sent_at);
   /// Stores a clock reading from any reply of `worker`.
   void UpdateWorkerClock(const std::string& worker, worker_time clock, boot_time now);
   /// Handles that `worker` did not reply to a call, for the given reason.
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -39,7 +39,6 @@
     worker.lists_applied = false;
     ResolveWorker(worker);
     worker.acknowledged_end = 0;
-    worker.clock_read_at = {};
   }
   const std::int64_t incarnation = std::max(worker.registration.incarnation, registration.incarnation);
   worker.registration = registration;
@@ -47,7 +46,8 @@
   worker.listed = true;
   UpdateRecorded(worker);
   worker.lease_withheld = withheld_leases_.contains(registration.id);
-  if (worker.clock_read_at == boot_time{}) UpdateWorkerClock(registration.id, registration.clock, now);
+  if (worker.lease.clock_read_at() == boot_time{})
+    UpdateWorkerClock(registration.id, registration.clock, now);
   if (!was_listed) AddEvent(pool_event_kind::kWorkerListed, "", "", 0, registration.id, "");
   if (registration.draining && !was_draining) {
     const milliseconds remaining = registration.remaining.value_or(milliseconds(0));
@@ -67,7 +67,7 @@
 void pool_state::AddRecordedWorker(const std::string& id, const std::string& address, boot_time lease_bound) {
   worker_entry& worker = workers_[id];
   worker.may_have_unlisted_runs = true;
-  worker.lease_bound = std::max(worker.lease_bound, lease_bound);
+  worker.lease.ExtendTo(lease_bound);
   worker.lease_withheld = withheld_leases_.contains(id);
   if (worker.listed) return;
   worker.registration.id = id;
@@ -93,23 +93,19 @@
   std::map<std::string, boot_time> leases;
   for (const auto& [id, worker] : workers_) {
     if (worker.reachable || worker.tasks.empty() || worker.may_have_unlisted_runs) continue;
-    const bool was_granted_lately = worker.lease_bound - now > MaxLeaseTime() * kSilentLeaseShare;
+    const bool was_granted_lately = worker.lease.bound() - now > MaxLeaseTime() * kSilentLeaseShare;
     if (was_granted_lately) continue;
     const bool may_start_late =
         std::any_of(worker.tasks.begin(), worker.tasks.end(), [this](const auto& task) {
           const std::optional<task_location> location = const_cast<pool_state*>(this)->FindTask(task);
           return !location || !location->member->confirmed || location->member->may_start_late;
         });
-    if (!may_start_late) leases[id] = worker.lease_bound;
+    if (!may_start_late) leases[id] = worker.lease.bound();
   }
   return leases;
 }
 
-milliseconds pool_state::MaxLeaseTime() const {
-  return milliseconds(std::llround(static_cast<double>(settings_.worker_lease.count()) *
-                                   (1.0 + settings_.worker_clock_tolerance))) +
-         settings_.lease_margin;
-}
+milliseconds pool_state::MaxLeaseTime() const { return MaxElapsedTime(settings_, settings_.worker_lease); }
 
 bool pool_state::IsReplying(const std::string& id) const {
   const auto found = workers_.find(id);
@@ -119,19 +115,41 @@
 worker_time pool_state::GrantLease(const std::string& id, boot_time now) {
   worker_entry& worker = workers_.at(id);
   assert(!worker.lease_withheld);
-  const milliseconds lease = settings_.worker_lease;
-  worker.lease_bound = std::max(worker.lease_bound, now + MaxLeaseTime());
-  // Assumes a slow clock, so that the lease does not outlast the bound.
-  const auto since_reading = static_cast<double>((now - worker.clock_read_at).count());
-  const auto progress = milliseconds(std::llround(since_reading * (1.0 - settings_.worker_clock_tolerance)));
-  return worker.clock + progress + lease;
+  return worker.lease.Grant(settings_, now);
 }
 
 void pool_state::UpdateWorkerClock(const std::string& id, worker_time clock, boot_time now) {
   worker_entry* worker = FindWorker(id);
   if (worker == nullptr) return;
-  worker->clock = clock;
-  worker->clock_read_at = now;
+  worker->lease.ReadClock(clock, now);
+}
+
+bool pool_state::HasRepliedSince(const std::string& id, boot_time time) const {
+  const auto found = workers_.find(id);
+  return found != workers_.end() && found->second.reachable && found->second.lists_applied &&
+         found->second.replied_at != boot_time{} && found->second.replied_at >= time;
+}
+
+void pool_state::HandleIncarnationReply(const std::string& id, std::int64_t incarnation, worker_time clock,
+                                        boot_time now) {
+  worker_entry* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  const std::int64_t known = worker->registration.incarnation;
+  if (incarnation != 0 && known != 0 && incarnation != known) return;
+  worker->lease.ReadClock(clock, now);
+  worker->replied_at = now;
+}
+
+void pool_state::HandleGrantReply(const std::string& id, worker_time deadline, worker_time clock,
+                                  boot_time now) {
+  worker_entry* worker = FindWorker(id);
+  if (worker != nullptr) worker->lease.HandleReply(settings_, deadline, clock, now);
+}
+
+void pool_state::HandleUnansweredGrant(const std::string& id, std::int64_t incarnation, boot_time sent_at) {
+  worker_entry* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  worker->lease.HandleNoReply(settings_, sent_at, worker->registration.incarnation != incarnation);
 }
 
 void pool_state::MarkUnreachable(const std::string& id, const std::string& reason, boot_time now) {
@@ -141,14 +159,14 @@
   if (!worker->reachable) return;
   worker->reachable = false;
   AddEvent(pool_event_kind::kWorkerUnreachable, "", "", 0, id,
-           "lease_left_ms=" + std::to_string((worker->lease_bound - now).count()) +
+           "lease_left_ms=" + std::to_string((worker->lease.bound() - now).count()) +
                " tasks=" + std::to_string(worker->tasks.size()) + " cause=" + reason);
 }
 
 void pool_state::ExpireLeases(boot_time now, boot_time confirmed_at) {
   for (auto worker = workers_.begin(); worker != workers_.end();) {
     worker_entry& entry = worker->second;
-    const bool has_expired = !entry.reachable && confirmed_at >= entry.lease_bound;
+    const bool has_expired = !entry.reachable && confirmed_at >= entry.lease.bound();
     if (has_expired) {
       MarkRunsLost(entry, "lease expired, worker unreachable");
       entry.unaccounted.clear();
@@ -156,7 +174,7 @@
     }
     if (!entry.listed && !entry.may_have_unlisted_runs) workers_awaiting_first_reply_.erase(worker->first);
     const bool is_removable = !entry.listed && !entry.may_have_unlisted_runs && entry.tasks.empty() &&
-                              entry.unaccounted.empty() && now >= entry.lease_bound;
+                              entry.unaccounted.empty() && now >= entry.lease.bound();
     worker = is_removable ? workers_.erase(worker) : std::next(worker);
   }
 }
@@ -169,7 +187,8 @@
   workers_awaiting_first_reply_.erase(id);
   worker->listed = false;
   worker->lists_applied = true;
-  worker->lease_bound = {};
+  worker->lease.HandleEnd();
+  worker->replied_at = {};
   ResolveWorker(*worker);
 }
 
@@ -219,6 +238,8 @@
 }
 
 void pool_state::HandleWorkerRestart(worker_entry& worker) {
+  worker.lease.HandleRestart(settings_);
+  worker.replied_at = {};
   for (const std::string& task : worker.tasks) {
     const std::optional<task_location> location = FindTask(task);
     assert(location);
@@ -256,6 +277,7 @@
   const bool is_whole = lists.finished.size() < kMaxEndsPerReply;
   worker->lists_applied = worker->lists_applied || is_whole;
   worker->reachable = true;
+  worker->replied_at = now;
   worker->closed_a_call = false;
   workers_awaiting_first_reply_.erase(id);
   UpdateWorkerClock(id, lists.clock, now);
--- a/src/state/pool/worker_entry.h
+++ b/src/state/pool/worker_entry.h
@@ -11,6 +11,7 @@
 
 #include "state/pool/job_request.h"
 #include "state/pool/pool_time.h"
+#include "state/pool/worker_lease.h"
 
 namespace hickorystall::state::pool {
 
@@ -142,13 +143,10 @@
   std::map<std::string, resources> unaccounted;
   /// Names of the tasks whose current run is assigned to this worker.
   std::set<std::string> tasks;
-  /// Lower bound of the clock of the worker at `clock_read_at`.
-  worker_time clock{};
-  /// When `clock` was read; zero if it was not read from the current incarnation.
-  boot_time clock_read_at{};
-  /// Upper bound of the leases granted by this owner and earlier ones: after this time the worker runs
-  /// nothing that they ordered, unless a lease is renewed.
-  boot_time lease_bound{};
+  /// Leases granted by this owner and earlier ones.
+  worker_lease lease;
+  /// When the latest reply that names the current incarnation was received; zero if there is none.
+  boot_time replied_at{};
   /// Earliest time at which the worker leaves, as it last reported when it began to drain; empty if it never
   /// reported a time. Counts only while the worker drains.
   std::optional<boot_time> leaves_at;
