Acknowledge ends only to the incarnation that listed them

Cause: ends are numbered anew in each incarnation of a worker. A worker without a reply was called with the number of the last end of its earlier incarnation, and if it had restarted under its id, it forgot its own ends up to that number, which nobody had read.

Change: a call acknowledges ends only if the known incarnation has just replied; otherwise it acknowledges none. The next call does.

Evidence: "an acknowledgement does not reach the next incarnation of a worker" failed before the change (1 instead of 0).

--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -126,10 +126,12 @@
   const std::int64_t call_number = state_.NextCallNumber();
   const order_address address = AddressOf(*worker);
   const std::int64_t acknowledged = worker->acknowledged_end;
+  // The numbers of ends start anew with each incarnation.
+  const std::int64_t acknowledged_to_worker = is_confirmed ? acknowledged : 0;
   const boot_time sent_at = BootNow();
   lists_reply reply;
   try {
-    reply = co_await parts_.orders->Renew(address, acknowledged, deadline, wait, kOrderTimeout);
+    reply = co_await parts_.orders->Renew(address, acknowledged_to_worker, deadline, wait, kOrderTimeout);
   } catch (const std::exception& failure) {
     LogFailedCall(id, failure);
   }
--- a/tests/coordination/pool/worker_restart_test.cpp
+++ b/tests/coordination/pool/worker_restart_test.cpp
@@ -137,4 +137,25 @@
   });
 }
 
+// Guards against forgotten ends: the numbers of ends start anew with each incarnation, so the acknowledgement
+// of an earlier one made the next incarnation forget ends that no owner had read.
+TEST_CASE("an acknowledgement does not reach the next incarnation of a worker", "[pool]") {
+  restart_fixture fixture;
+  const std::string task = TaskName(kJob, 0, 0, 0);
+  owner_vm vm("a", Ownership(), Pool(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    SubmitTask(fixture.store, kJob);
+    co_await WaitUntil([&] { return fixture.workers.IsRunning(kFirst, task); }, seconds(3));
+    fixture.workers.Complete(kFirst, task);
+    SubmitTask(fixture.store, "00000000000000ab");
+    co_await WaitUntil([&] { return fixture.workers.acknowledged[1] == 1; }, seconds(3));
+    CHECK(fixture.workers.acknowledged[1] == 1);
+    co_await fixture.Restart();
+    co_await transport::Sleep(milliseconds(500));
+    CHECK(fixture.workers.acknowledged.contains(2));
+    CHECK(fixture.workers.acknowledged[2] == 0);
+    vm.Kill();
+  });
+}
+
 }  // namespace hickorystall::tests
