Store the silence of each worker that may have runs

Their tasks waited with cause=unresolved_worker for the lease of a worker that had crashed before the first change.

Cause: an owner stored the silence only of workers that it had reached itself and whose starts were all answered. It repeated a start for seconds, and a repetition that reached the next incarnation would have outlasted the stored end. So the next owner assumed that its predecessor had renewed the lease until the end of its authority, and each further change began the wait anew.

A worker that may have runs of an earlier owner and that this owner has not reached for 1 s is stored as well, with the end of the earlier leases: this owner grants none while it is stored. A stored end replaces the general bound also where it is later, as after a restart.

Tests: "an owner stores the silence of a worker that it has never reached" failed before (6.7 s of waiting, limit 4.7 s). "a worker to which a start may be repeated is not stored as silent" checked the former rule by a repeated start that a restarted worker executes. No start is repeated there any more, so its time of execution would never be set and its check would hold for nothing. "a start is not repeated to a worker that is stored as silent" replaces it: the crashed worker executes what it receives without replying, no start reaches the next incarnation, the worker is stored (this failed before), and the task starts elsewhere while none runs there.

--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -207,7 +207,7 @@
   const std::map<std::string, boot_time> silent = silence_.Load(recorded.rows);
   const auto bound_of = [&silent, bound](const std::string& id) {
     const auto found = silent.find(id);
-    return found == silent.end() ? bound : std::min(bound, found->second);
+    return found == silent.end() ? bound : found->second;
   };
   for (const auto& [id, address] : addresses) state_.AddRecordedWorker(id, address, bound_of(id));
   state_.SetRecordedWorkers(std::move(addresses));
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -106,9 +106,8 @@
                                 std::int64_t call_number, boot_time now);
   /// Withholds leases from `workers` and from no others: their silence may be stored.
   void WithholdLeases(std::set<std::string> workers);
-  /// Returns the upper bounds of the leases of the workers with runs that have not replied for some time.
-  /// Leaves out workers to which a start may still be repeated or carried out late: if they restart, the run
-  /// outlasts the bound.
+  /// Returns the upper bounds of the leases of the workers that may have runs and have not replied for some
+  /// time. No start is repeated to them, so the bounds hold until a lease is granted again.
   std::map<std::string, boot_time> LeasesOfSilentWorkers(boot_time now) const;
   /// Returns the upper bound of the time from the grant of a lease to its end.
   std::chrono::milliseconds MaxLeaseTime() const;
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -15,9 +15,12 @@
 // A worker lists at most this many ends at a time, so a list of this length may be incomplete.
 constexpr std::size_t kMaxEndsPerReply = 500;
 
-// Part of a lease that is left when its worker may be counted as silent. Leases are renewed each second, so a
-// worker that has missed a single call is not.
-constexpr double kSilentLeaseShare = 2.0 / 3.0;
+// Part of a lease that has passed when its worker may be counted as silent. Leases are renewed each second,
+// so a worker that has missed a single call is not.
+constexpr double kSilentLeaseShare = 1.0 / 3.0;
+// Time without a reply after which a worker that this owner has never reached may be counted as silent. It
+// allows for two calls.
+constexpr milliseconds kFirstSilence{1000};
 
 // Indexed by worker_condition.
 constexpr std::array<std::string_view, kWorkerConditions> kConditionNames{
@@ -92,15 +95,15 @@
 std::map<std::string, boot_time> pool_state::LeasesOfSilentWorkers(boot_time now) const {
   std::map<std::string, boot_time> leases;
   for (const auto& [id, worker] : workers_) {
-    if (worker.reachable || worker.tasks.empty() || worker.may_have_unlisted_runs) continue;
-    const bool was_granted_lately = worker.lease.bound() - now > MaxLeaseTime() * kSilentLeaseShare;
-    if (was_granted_lately) continue;
-    const bool may_start_late =
-        std::any_of(worker.tasks.begin(), worker.tasks.end(), [this](const auto& task) {
-          const std::optional<task_location> location = const_cast<pool_state*>(this)->FindTask(task);
-          return !location || !location->member->confirmed || location->member->may_start_late;
-        });
-    if (!may_start_late) leases[id] = worker.lease.bound();
+    const bool may_have_runs = !worker.tasks.empty() || unresolved_units_.contains(id);
+    if (worker.reachable || !may_have_runs) continue;
+    const boot_time granted_at = worker.lease.granted_at();
+    const boot_time silent_from =
+        granted_at == boot_time{}
+            ? worker.unreachable_since + kFirstSilence
+            : granted_at + std::chrono::duration_cast<milliseconds>(MaxLeaseTime() * kSilentLeaseShare);
+    if (now < silent_from) continue;
+    leases[id] = worker.lease.bound();
   }
   return leases;
 }
@@ -158,6 +161,7 @@
   workers_awaiting_first_reply_.erase(id);
   if (!worker->reachable) return;
   worker->reachable = false;
+  worker->unreachable_since = now;
   AddEvent(pool_event_kind::kWorkerUnreachable, "", "", 0, id,
            "lease_left_ms=" + std::to_string((worker->lease.bound() - now).count()) +
                " tasks=" + std::to_string(worker->tasks.size()) + " cause=" + reason);
--- a/src/state/pool/worker_entry.h
+++ b/src/state/pool/worker_entry.h
@@ -132,6 +132,8 @@
   bool may_have_unlisted_runs = false;
   /// False if the worker did not reply to the latest call.
   bool reachable = true;
+  /// While it is not reachable, when the first call without a reply ended.
+  boot_time unreachable_since{};
   /// True while the store may name the worker as silent, with the end of its leases. It must not get a lease
   /// then.
   bool lease_withheld = false;
--- a/src/state/pool/worker_lease.cpp
+++ b/src/state/pool/worker_lease.cpp
@@ -14,6 +14,7 @@
 }
 
 worker_time worker_lease::Grant(const pool_settings& settings, boot_time now) {
+  granted_at_ = now;
   ExtendTo(now + MaxElapsedTime(settings, settings.worker_lease));
   // Assumes a slow clock, so that the lease does not outlast the bound.
   const auto since_reading = static_cast<double>((now - clock_read_at_).count());
--- a/src/state/pool/worker_lease.h
+++ b/src/state/pool/worker_lease.h
@@ -41,6 +41,8 @@
 
   /// Time after which no run on the worker continues unless its lease is renewed.
   boot_time bound() const { return bound_; }
+  /// Time of the latest grant; zero if this owner has granted none.
+  boot_time granted_at() const { return granted_at_; }
   /// Time of the latest reading of the clock; zero if the clock of this incarnation was not read.
   boot_time clock_read_at() const { return clock_read_at_; }
 
@@ -48,6 +50,7 @@
   void ExtendForLateExecution(const pool_settings& settings);
 
   boot_time bound_{};
+  boot_time granted_at_{};
   // Lower bound of the clock at `clock_read_at_`.
   worker_time clock_{};
   boot_time clock_read_at_{};
--- a/tests/coordination/pool/leasing_workers.cpp
+++ b/tests/coordination/pool/leasing_workers.cpp
@@ -43,6 +43,7 @@
                                                     worker_time deadline, milliseconds timeout) {
   (void)payload, (void)checkpoint;
   worker_model& worker = workers_[address.worker];
+  if (on_start) on_start(address.worker);
   const bool is_executed = IsReplying(address.worker);
   starts.push_back({address.worker, worker.incarnation, is_executed});
   order_reply reply;
@@ -58,6 +59,10 @@
   ExpireLease(worker);
   ExtendLease(worker, deadline);
   worker.running[task] = run;
+  if (worker.loses_replies) {
+    co_await transport::Sleep(timeout);
+    co_return order_reply{};
+  }
   reply.outcome = order_outcome::kDone;
   co_return reply;
 }
@@ -89,6 +94,11 @@
     co_return reply;
   }
   const std::int64_t incarnation = worker.incarnation;
+  if (worker.loses_replies) {
+    if (deadline) ExtendLease(worker, *deadline);
+    co_await transport::Sleep(wait + timeout);
+    co_return lists_reply{};
+  }
   reply.outcome = Admit(worker, address) ? order_outcome::kDone : order_outcome::kFenced;
   if (reply.outcome == order_outcome::kFenced) co_return reply;
   ExpireLease(worker);
--- a/tests/coordination/pool/leasing_workers.h
+++ b/tests/coordination/pool/leasing_workers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -38,6 +39,10 @@
   void SetSilent(const std::string& worker, bool is_silent) { workers_[worker].is_silent = is_silent; }
   /// Lets the run of `task` on `worker` complete.
   void Complete(const std::string& worker, const std::string& task);
+  /// Lets `worker` execute calls without replying to them.
+  void LoseReplies(const std::string& worker) { workers_[worker].loses_replies = true; }
+  /// Called with the worker of each start before it is executed.
+  std::function<void(const std::string&)> on_start;
   /// Returns whether `task` runs on `worker`.
   bool IsRunning(const std::string& worker, const std::string& task);
 
@@ -64,6 +69,7 @@
     std::int64_t last_end = 0;
     bool is_up = false;
     bool is_silent = false;
+    bool loses_replies = false;
   };
 
   state::pool::worker_time Clock(const worker_model& worker) const;
