Count a job as waiting until one of its tasks has begun

The job was shown as running, though nothing of it had begun.

Cause: a job became running when a start was ordered, and stayed so however the start ended. `pending` counts the stored jobs that are queued.

Change: a job becomes running when a worker shows that a task has begun: by its reply to a start, by its list of runs or by its list of ends. The phase is stored with the next write of the partition.

--- a/src/state/pool/pool_state.cpp
+++ b/src/state/pool/pool_state.cpp
@@ -268,7 +268,6 @@
              "wait_ms=" + std::to_string((now - unit->ready_at).count()));
     orders_.push_back(std::move(order));
   }
-  if (job.phase == job_phase::kQueued) job.phase = job_phase::kRunning;
   // Urgent, because the orders are sent only once the start is stored.
   MarkChanged(job, true);
 }
@@ -316,7 +315,14 @@
   location.member->phase = run_phase::kRunning;
   location.member->confirmed = true;
   location.member->last_reply_call = NextCallNumber();
+void pool_state::MarkBegun(job_entry& job) {
+  if (job.phase != job_phase::kQueued) return;
+  job.phase = job_phase::kRunning;
+  MarkChanged(job, false);
+}
+
   // The order may have waited for the start to be stored.
+  MarkBegun(*location.job);
   location.member->progress_at = now;
   location.unit->started_at = now;
 }
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -226,6 +226,8 @@
   // Orders the stop of a listed run that no unit accounts for, and counts its capacity until it is gone.
   void StopForeignRun(worker_entry& worker, const listed_run& run);
   // Marks the run of the member as confirmed.
+  // Marks a queued job as running: a worker has begun one of its tasks. An ordered start does not show that.
+  void MarkBegun(job_entry& job);
   void MarkRunning(const task_location& location, boot_time now);
   // Reports the runs on a restarted worker as lost. A start that was sent before may still reach the new
   // incarnation, so each run is stopped there before its unit can start again.
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -324,10 +324,7 @@
     member.may_start_late = true;
     member.last_reply_call = NextCallNumber();
     member.progress_at = now;
-    if (location->job->phase == job_phase::kQueued) {
-      location->job->phase = job_phase::kRunning;
-      MarkChanged(*location->job, false);
-    }
+    MarkBegun(*location->job);
   }
   if (member.worker != worker.registration.id || unit.last_run != run.run) return StopForeignRun(worker, run);
   if (member.phase == run_phase::kOrdered) MarkRunning(*location, now);
@@ -392,6 +389,7 @@
       break;
     case end_kind::kFailed:
       ApplyFailure(*location, worker, end.run, now);
+  MarkBegun(*location->job);
       break;
     default:
       AddEvent(pool_event_kind::kRunStopped, location->position.job, end.task, end.run,
--- a/tests/state/pool/pool_state_test.cpp
+++ b/tests/state/pool/pool_state_test.cpp
@@ -2,6 +2,7 @@
 #include "state/pool/pool_state.h"
 
 #include <catch2/catch.hpp>
+#include <tuple>
 
 #include "state/pool/pool_fixture.h"
 
@@ -248,6 +249,40 @@
 
 // Guards against a second run next to a start that is executed seconds late. Only a confirmed stop rules that
 // out.
+// Guards against a count of waiting jobs that leaves out a job none of whose tasks has begun (review/4): it
+// was counted as running from the first ordered start on, however often its starts were refused.
+TEST_CASE("a job is queued until one of its tasks has begun", "[pool]") {
+  pool_fixture pool(2, 2);
+  pool.Submit(kJob, pool_fixture::Step(1, 1));
+  const auto phase = [&pool] { return pool.state.jobs().at(kJob).phase; };
+  const std::vector<worker_order> orders = pool.Plan();
+  REQUIRE(orders.size() == 1);
+  CHECK(phase() == job_phase::kQueued);
+  const auto& [task, run, worker] = std::tie(orders[0].task, orders[0].run, orders[0].worker);
+  SECTION("and its start was refused") {
+    pool.state.HandleStartReply(task, run, start_reply::kWorkerUnhealthy, pool.now);
+    CHECK(phase() == job_phase::kQueued);
+  }
+  SECTION("and its start has no reply") {
+    pool.state.HandleStartReply(task, run, start_reply::kNoReply, pool.now);
+    CHECK(phase() == job_phase::kQueued);
+    pool.ApplyLists(worker, {});
+    CHECK(phase() == job_phase::kQueued);
+  }
+  SECTION("which a reply shows") {
+    pool.Accept(orders);
+    CHECK(phase() == job_phase::kRunning);
+  }
+  SECTION("which the list of runs shows") {
+    pool.ApplyLists(worker, {{task, run, "", 0}});
+    CHECK(phase() == job_phase::kRunning);
+  }
+  SECTION("which the list of ends shows") {
+    pool.ApplyLists(worker, {}, {{1, task, run, end_kind::kFailed, ""}});
+    CHECK(phase() == job_phase::kRunning);
+  }
+}
+
 TEST_CASE("a start without a reply blocks its unit until a stop is confirmed", "[pool]") {
   pool_fixture pool;
   pool.Submit(kJob, pool_fixture::Step(1, 1));
