Reject late starts on the next incarnation of their worker

The owner repeated the start, the run ended and was acknowledged, and the worker restarted under its id. Its next incarnation knew nothing of the run and began it anew. The fencing token does not help, since the owner was the same.

Change: the owner remembers the starts without a reply for the time within which they may be executed. When it learns that the worker has restarted, it stops these runs on the new incarnation before anything else: the worker refuses a run that was stopped there before it arrives. After a change of owner the higher fencing token does the same.

A start that arrives before the owner has learned of the restart is still executed, and stopped when the list shows it.

--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -234,7 +234,7 @@
   if (stopped_) co_return reply;
   if (reply.clock) state_.HandleGrantReply(order.worker, *deadline, *reply.clock, BootNow());
   if (reply.outcome == order_outcome::kNoReply) {
-    state_.MarkStartUnanswered(order.task, order.run);
+    state_.MarkStartUnanswered(order.worker, order.task, order.run, BootNow());
     state_.HandleUnansweredGrant(order.worker, incarnation, sent_at);
   }
   HandleReply(order.worker, reply);
--- a/src/state/pool/pool_state.cpp
+++ b/src/state/pool/pool_state.cpp
@@ -208,6 +208,10 @@
   const auto worker = workers_.find(order.worker);
   if (worker == workers_.end()) return false;
   if (!order.is_start && worker->second.unaccounted.contains(order.task)) return true;
+  const auto rejected = worker->second.runs_to_reject.find(order.task);
+  const bool is_rejection =
+      !order.is_start && rejected != worker->second.runs_to_reject.end() && rejected->second == order.run;
+  if (is_rejection) return true;
   const std::optional<task_location> location = const_cast<pool_state*>(this)->FindTask(order.task);
   if (!location || location->unit->last_run != order.run || location->member->worker != order.worker)
     return false;
@@ -311,25 +315,32 @@
   }
 }
 
-void pool_state::MarkRunning(const task_location& location, boot_time now) {
-  location.member->phase = run_phase::kRunning;
-  location.member->confirmed = true;
-  location.member->last_reply_call = NextCallNumber();
 void pool_state::MarkBegun(job_entry& job) {
   if (job.phase != job_phase::kQueued) return;
   job.phase = job_phase::kRunning;
   MarkChanged(job, false);
 }
 
-  // The order may have waited for the start to be stored.
+void pool_state::MarkRunning(const task_location& location, boot_time now) {
   MarkBegun(*location.job);
+  location.member->phase = run_phase::kRunning;
+  location.member->confirmed = true;
+  location.member->last_reply_call = NextCallNumber();
+  // The order may have waited for the start to be stored.
   location.member->progress_at = now;
   location.unit->started_at = now;
 }
 
-void pool_state::MarkStartUnanswered(const std::string& task, std::int64_t run) {
+void pool_state::MarkStartUnanswered(const std::string& id, const std::string& task, std::int64_t run,
+                                     boot_time now) {
   const std::optional<task_location> location = FindTask(task);
   if (location && location->unit->last_run == run) location->member->may_start_late = true;
+  worker_entry* worker = FindWorker(id);
+  if (worker == nullptr) return;
+  std::erase_if(worker->unanswered_starts, [this, now](const auto& entry) {
+    return now - entry.second.ended_at > settings_.max_order_delay;
+  });
+  worker->unanswered_starts[task] = {run, now};
 }
 
 void pool_state::HandleStartReply(const std::string& task, std::int64_t run, start_reply reply,
@@ -359,6 +370,11 @@
 }
 
 void pool_state::HandleStopReply(const std::string& worker, const std::string& task, std::int64_t run) {
+  worker_entry* entry = FindWorker(worker);
+  if (entry != nullptr) {
+    std::erase_if(entry->runs_to_reject,
+                  [&](const auto& rejected) { return rejected.first == task && rejected.second == run; });
+  }
   const std::optional<task_location> location = FindTask(task);
   if (!location || location->unit->last_run != run || location->member->worker != worker) return;
   if (location->member->phase != run_phase::kStopping) return;
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -130,8 +130,9 @@
   /// Handles that the process of an unreachable worker has ended, with everything that it ran. Only runs that
   /// no late start can repeat are released; the others wait for the lease.
   void HandleProcessEnd(const std::string& worker);
-  /// Records that one attempt to start `run` of `task` had no reply.
-  void MarkStartUnanswered(const std::string& task, std::int64_t run);
+  /// Records that one attempt to start `run` of `task` on `worker` had no reply until `now`.
+  void MarkStartUnanswered(const std::string& worker, const std::string& task, std::int64_t run,
+                           boot_time now);
   /// Handles the result of the start of `run` of `task`.
   void HandleStartReply(const std::string& task, std::int64_t run, start_reply reply, boot_time now);
   /// Handles the confirmation of the stop of `run` of `task` by `worker`.
@@ -225,13 +226,15 @@
                            std::int64_t call_number);
   // Orders the stop of a listed run that no unit accounts for, and counts its capacity until it is gone.
   void StopForeignRun(worker_entry& worker, const listed_run& run);
-  // Marks the run of the member as confirmed.
   // Marks a queued job as running: a worker has begun one of its tasks. An ordered start does not show that.
   void MarkBegun(job_entry& job);
+  // Orders the stop of each run whose start may still reach the new incarnation of a restarted worker.
+  void RejectLateStarts(worker_entry& worker, boot_time now);
+  // Marks the run of the member as confirmed.
   void MarkRunning(const task_location& location, boot_time now);
   // Reports the runs on a restarted worker as lost. A start that was sent before may still reach the new
   // incarnation, so each run is stopped there before its unit can start again.
-  void HandleWorkerRestart(worker_entry& worker);
+  void HandleWorkerRestart(worker_entry& worker, boot_time now);
   // Releases all runs on `worker`, none of which is active any longer.
   void MarkRunsLost(worker_entry& worker, const std::string& reason);
   // Sets `worker_entry::recorded` from the stored list of workers.
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -37,7 +37,7 @@
   const bool was_listed = worker.listed;
   const bool was_draining = worker.registration.draining;
   if (worker.registration.incarnation != 0 && registration.incarnation > worker.registration.incarnation) {
-    HandleWorkerRestart(worker);
+    HandleWorkerRestart(worker, now);
     AddEvent(pool_event_kind::kWorkerRestarted, "", "", 0, registration.id, "");
     worker.lists_applied = false;
     ResolveWorker(worker);
@@ -241,9 +241,23 @@
   unresolved_units_.erase(found);
 }
 
-void pool_state::HandleWorkerRestart(worker_entry& worker) {
+void pool_state::RejectLateStarts(worker_entry& worker, boot_time now) {
+  worker.runs_to_reject.clear();
+  for (const auto& [task, start] : worker.unanswered_starts) {
+    if (now - start.ended_at > settings_.max_order_delay) continue;
+    worker.runs_to_reject[task] = start.run;
+    worker_order order;
+    order.worker = worker.registration.id;
+    order.task = task;
+    order.run = start.run;
+    orders_.push_back(std::move(order));
+  }
+}
+
+void pool_state::HandleWorkerRestart(worker_entry& worker, boot_time now) {
   worker.lease.HandleRestart(settings_);
   worker.replied_at = {};
+  RejectLateStarts(worker, now);
   for (const std::string& task : worker.tasks) {
     const std::optional<task_location> location = FindTask(task);
     assert(location);
@@ -271,7 +285,7 @@
   if (worker == nullptr) return 0;
   if (lists.incarnation != 0 && worker->registration.incarnation != 0 &&
       lists.incarnation != worker->registration.incarnation) {
-    HandleWorkerRestart(*worker);
+    HandleWorkerRestart(*worker, now);
     worker->unaccounted.clear();
     worker->acknowledged_end = 0;
     AddEvent(pool_event_kind::kWorkerRestarted, "", "", 0, id, "");
@@ -375,6 +389,7 @@
   if (is_current) Release(*location);
   const bool superseded = end.run < unit.last_run && !unit.IsIdle();
   unit.last_run = std::max(unit.last_run, end.run);
+  MarkBegun(*location->job);
   if (unit.done || IsFinal(location->job->phase)) return;
   if (!end.checkpoint.empty() && !superseded) {
     unit.checkpoint = end.checkpoint;
@@ -389,7 +404,6 @@
       break;
     case end_kind::kFailed:
       ApplyFailure(*location, worker, end.run, now);
-  MarkBegun(*location->job);
       break;
     default:
       AddEvent(pool_event_kind::kRunStopped, location->position.job, end.task, end.run,
--- a/src/state/pool/worker_entry.h
+++ b/src/state/pool/worker_entry.h
@@ -115,6 +115,14 @@
 /// Returns the name of `condition` as used in log records and metrics.
 std::string_view WorkerConditionName(worker_condition condition);
 
+/// A start that had an attempt without a reply.
+struct unanswered_start {
+  /// Number of the run.
+  std::int64_t run = 0;
+  /// When the latest attempt without a reply ended.
+  boot_time ended_at{};
+};
+
 /// A worker as known to the owner of the pool.
 struct worker_entry {
   /// Latest registration. Only the id and address are set for a worker known only from an earlier owner.
@@ -152,6 +160,12 @@
   /// Earliest time at which the worker leaves, as it last reported when it began to drain; empty if it never
   /// reported a time. Counts only while the worker drains.
   std::optional<boot_time> leaves_at;
+  /// Starts that the worker may still execute late, by task name. Older ones are kept until the next is
+  /// added.
+  std::map<std::string, unanswered_start> unanswered_starts;
+  /// Runs to stop on the current incarnation, because a start that was sent to an earlier one may still reach
+  /// it: numbers of the runs by task name.
+  std::map<std::string, std::int64_t> runs_to_reject;
   /// Highest sequence number of an end that is stored and may be acknowledged.
   std::int64_t acknowledged_end = 0;
   /// Number of consecutive runs that ended with `kFailed`.
--- a/tests/coordination/pool/leasing_workers.cpp
+++ b/tests/coordination/pool/leasing_workers.cpp
@@ -1,6 +1,7 @@
 #include "coordination/pool/leasing_workers.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "transport/async_event.h"
 #include "transport/boot_clock.h"
@@ -34,6 +35,7 @@
 }
 
 void leasing_workers::End(worker_model& worker, const std::string& task, end_kind kind) {
+  worker.settled[task] = std::max(worker.settled[task], worker.running.at(task));
   worker.finished.push_back({++worker.last_end, task, worker.running.at(task), kind, ""});
   worker.running.erase(task);
 }
@@ -44,7 +46,9 @@
   (void)payload, (void)checkpoint;
   worker_model& worker = workers_[address.worker];
   if (on_start) on_start(address.worker);
-  const bool is_executed = IsReplying(address.worker);
+  const bool is_held = std::exchange(holds_next_start_, false);
+  if (is_held) held_ = {address, task, run, deadline};
+  const bool is_executed = IsReplying(address.worker) && !is_held;
   starts.push_back({address.worker, worker.incarnation, is_executed});
   order_reply reply;
   if (!is_executed) {
@@ -56,17 +60,29 @@
     reply.outcome = order_outcome::kFenced;
     co_return reply;
   }
-  ExpireLease(worker);
-  ExtendLease(worker, deadline);
-  worker.running[task] = run;
+  const bool is_started = ExecuteStart(worker, task, run, deadline);
   if (worker.loses_replies) {
     co_await transport::Sleep(timeout);
     co_return order_reply{};
   }
-  reply.outcome = order_outcome::kDone;
+  reply.outcome = is_started ? order_outcome::kDone : order_outcome::kRefused;
   co_return reply;
 }
 
+bool leasing_workers::ExecuteStart(worker_model& worker, const std::string& task, std::int64_t run,
+                                   worker_time deadline) {
+  ExpireLease(worker);
+  ExtendLease(worker, deadline);
+  if (run <= worker.settled[task]) return false;
+  worker.running[task] = run;
+  return true;
+}
+
+bool leasing_workers::ExecuteHeldStart() {
+  worker_model& worker = workers_[held_.address.worker];
+  return Admit(worker, held_.address) && ExecuteStart(worker, held_.task, held_.run, held_.deadline);
+}
+
 asio::awaitable<order_reply> leasing_workers::Stop(order_address address, std::string task, std::int64_t run,
                                                    milliseconds timeout) {
   worker_model& worker = workers_[address.worker];
@@ -77,6 +93,7 @@
   }
   reply.clock = Clock(worker);
   reply.outcome = Admit(worker, address) ? order_outcome::kDone : order_outcome::kFenced;
+  if (reply.outcome == order_outcome::kDone) worker.settled[task] = std::max(worker.settled[task], run);
   const auto found = worker.running.find(task);
   const bool is_stopped =
       reply.outcome == order_outcome::kDone && found != worker.running.end() && found->second == run;
--- a/tests/coordination/pool/leasing_workers.h
+++ b/tests/coordination/pool/leasing_workers.h
@@ -39,6 +39,10 @@
   void SetSilent(const std::string& worker, bool is_silent) { workers_[worker].is_silent = is_silent; }
   /// Lets the run of `task` on `worker` complete.
   void Complete(const std::string& worker, const std::string& task);
+  /// Keeps the next start without executing it. Its call has no reply.
+  void HoldNextStart() { holds_next_start_ = true; }
+  /// Executes the held start on the present incarnation of its worker. Returns whether the run started.
+  bool ExecuteHeldStart();
   /// Lets `worker` execute calls without replying to them.
   void LoseReplies(const std::string& worker) { workers_[worker].loses_replies = true; }
   /// Called with the worker of each start before it is executed.
@@ -65,6 +69,8 @@
     state::pool::worker_time deadline{};
     std::int64_t fencing_token = 0;
     std::map<std::string, std::int64_t> running;
+    // Highest number of a run of each task that was stopped or has ended.
+    std::map<std::string, std::int64_t> settled;
     std::vector<state::pool::listed_end> finished;
     std::int64_t last_end = 0;
     bool is_up = false;
@@ -75,12 +81,24 @@
   state::pool::worker_time Clock(const worker_model& worker) const;
   bool IsReplying(const std::string& worker) { return workers_[worker].is_up && !workers_[worker].is_silent; }
   bool Admit(worker_model& worker, const coordination::pool::order_address& address);
+  // Executes a start. Returns false if the run was stopped or has ended, as a worker refuses it then.
+  bool ExecuteStart(worker_model& worker, const std::string& task, std::int64_t run,
+                    state::pool::worker_time deadline);
   void ExtendLease(worker_model& worker, state::pool::worker_time deadline);
   // Ends the runs of `worker` if its lease has ended.
   void ExpireLease(worker_model& worker);
   void End(worker_model& worker, const std::string& task, state::pool::end_kind kind);
 
+  struct held_start {
+    coordination::pool::order_address address;
+    std::string task;
+    std::int64_t run = 0;
+    state::pool::worker_time deadline{};
+  };
+
   const std::chrono::milliseconds max_lease_;
+  bool holds_next_start_ = false;
+  held_start held_;
   std::map<std::string, worker_model> workers_;
 };
 
--- a/tests/coordination/pool/worker_restart_test.cpp
+++ b/tests/coordination/pool/worker_restart_test.cpp
@@ -158,4 +158,24 @@
   });
 }
 
+// Guards against a second run of a task that is done (review/3): a start without a reply was carried out
+// late, by the next incarnation of its worker, which knew nothing of the run.
+TEST_CASE("a late start does not begin a run on the next incarnation of its worker", "[pool]") {
+  restart_fixture fixture;
+  const std::string task = TaskName(kJob, 0, 0, 0);
+  owner_vm vm("a", Ownership(), Pool(), fixture.store, fixture.workers, fixture.loop);
+  fixture.Run([&]() -> asio::awaitable<void> {
+    fixture.workers.HoldNextStart();
+    SubmitTask(fixture.store, kJob);
+    co_await WaitUntil([&] { return fixture.workers.IsRunning(kFirst, task); }, seconds(3));
+    fixture.workers.Complete(kFirst, task);
+    co_await transport::Sleep(milliseconds(500));
+    co_await fixture.Restart();
+    co_await transport::Sleep(milliseconds(500));
+    CHECK(fixture.workers.starts.size() == 2);
+    CHECK_FALSE(fixture.workers.ExecuteHeldStart());
+    vm.Kill();
+  });
+}
+
 }  // namespace hickorystall::tests
--- a/tests/state/pool/pool_state_test.cpp
+++ b/tests/state/pool/pool_state_test.cpp
@@ -236,7 +236,9 @@
   const std::vector<worker_order> orders = pool.Plan();
   REQUIRE(orders.size() == 1);
   pool.state.GrantLease(orders[0].worker, pool.now);
-  if (may_start_late) pool.state.MarkStartUnanswered(orders[0].task, orders[0].run);
+  if (may_start_late) {
+    pool.state.MarkStartUnanswered(orders[0].worker, orders[0].task, orders[0].run, pool.now);
+  }
   pool.Accept(orders);
   pool.state.MarkUnreachable(orders[0].worker, "closed", pool.now);
   pool.state.HandleProcessEnd(orders[0].worker);
@@ -247,8 +249,6 @@
   CHECK(replacement[0].run == 2);
 }
 
-// Guards against a second run next to a start that is executed seconds late. Only a confirmed stop rules that
-// out.
 // Guards against a count of waiting jobs that leaves out a job none of whose tasks has begun (review/4): it
 // was counted as running from the first ordered start on, however often its starts were refused.
 TEST_CASE("a job is queued until one of its tasks has begun", "[pool]") {
@@ -283,6 +283,8 @@
   }
 }
 
+// Guards against a second run next to a start that is executed seconds late. Only a confirmed stop rules that
+// out.
 TEST_CASE("a start without a reply blocks its unit until a stop is confirmed", "[pool]") {
   pool_fixture pool;
   pool.Submit(kJob, pool_fixture::Step(1, 1));
