Remember the late starts of a worker that has left the registry

Its entry was removed with what was known of its unanswered starts, and its next incarnation was taken for a new worker.

Change: the entry is kept while one of these starts may still be executed.

Evidence: "a late start does not begin a run on the next incarnation of its worker" now also lets the registration lapse, and failed in that form without the change.

--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -177,8 +177,12 @@
       ResolveWorker(entry);
     }
     if (!entry.listed && !entry.may_have_unlisted_runs) workers_awaiting_first_reply_.erase(worker->first);
-    const bool is_removable = !entry.listed && !entry.may_have_unlisted_runs && entry.tasks.empty() &&
-                              entry.unaccounted.empty() && now >= entry.lease.bound();
+    // The next incarnation may register only after this one has been removed from the registry.
+    const bool may_start_late = std::any_of(
+        entry.unanswered_starts.begin(), entry.unanswered_starts.end(),
+        [this, now](const auto& start) { return now - start.second.ended_at <= settings_.max_order_delay; });
+    const bool is_removable = !may_start_late && !entry.listed && !entry.may_have_unlisted_runs &&
+                              entry.tasks.empty() && entry.unaccounted.empty() && now >= entry.lease.bound();
     worker = is_removable ? workers_.erase(worker) : std::next(worker);
   }
 }
--- a/tests/coordination/pool/worker_restart_test.cpp
+++ b/tests/coordination/pool/worker_restart_test.cpp
@@ -170,6 +170,9 @@
     co_await WaitUntil([&] { return fixture.workers.IsRunning(kFirst, task); }, seconds(3));
     fixture.workers.Complete(kFirst, task);
     co_await transport::Sleep(milliseconds(500));
+    // The registration may lapse before the worker is back.
+    const bool has_lapsed = GENERATE(false, true);
+    if (has_lapsed) fixture.store.ApplyNow({{}, {{kRegistryTable, kFirst, std::nullopt}}});
     co_await fixture.Restart();
     co_await transport::Sleep(milliseconds(500));
     CHECK(fixture.workers.starts.size() == 2);
