Leave out renewals whose connection was closed by the worker

What callers would see: after a crash and a restart under the same id, tasks of a worker that is then cut off wait for up to 22 s (rule LOST), although nothing can have extended its lease.

Cause: most crashes leave a renewal without a reply, and a restart extends the bound of the lease by all of them. A worker that closes the connection of a waiting call in an orderly way has ended, and its process has executed the call on its arrival or never will.

Change: such a renewal does not count as one that may be executed late. One that ends without a sign still does.

--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -110,14 +110,14 @@
 asio::awaitable<bool> pool_owner::RenewWorker(std::string id) {
   worker_entry* worker = state_.FindWorker(id);
   const bool was_reachable = worker->reachable;
-  const std::int64_t incarnation = worker->registration.incarnation;
-  // An unreachable worker gets no new lease: the lease must expire so that its tasks can start elsewhere.
   const bool is_confirmed =
       was_reachable && worker->lists_applied && co_await ConfirmIncarnation(id, boot_time{});
   if (stopped_) co_return false;
   worker = state_.FindWorker(id);
   if (worker == nullptr || worker->reachable != was_reachable) co_return false;
+  const std::int64_t incarnation = worker->registration.incarnation;
   std::optional<worker_time> deadline;
+  // An unreachable worker gets no new lease: the lease must expire so that its tasks can start elsewhere.
   if (is_confirmed && !worker->tasks.empty() && !worker->lease_withheld)
     deadline = state_.GrantLease(id, BootNow());
   const milliseconds wait = !is_confirmed            ? milliseconds(0)
@@ -139,7 +139,8 @@
   worker = state_.FindWorker(id);
   if (worker == nullptr) co_return false;
   if (reply.outcome != order_outcome::kDone) {
-    const bool may_execute = reply.outcome == order_outcome::kNoReply;
+    // A connection that is closed in an orderly way shows that the process that received the call has ended.
+    const bool may_execute = reply.outcome == order_outcome::kNoReply && reply.sign != process_sign::kClosed;
     if (deadline && may_execute) state_.HandleUnansweredGrant(id, incarnation, sent_at);
     HandleFailedCall(id, reply);
     co_return false;
