--- a/tests/coordination/pool/silent_worker_test.cpp
+++ b/tests/coordination/pool/silent_worker_test.cpp
@@ -257,7 +257,7 @@
   });
 }
 
-// Guards against a wait that begins anew with each owner (KNOWN-RED 7): an owner stored the silence only of
+// Guards against a wait that begins anew with each owner: an owner stored the silence only of
 // workers that it had reached itself and whose starts were all answered.
 TEST_CASE("an owner stores the silence of a worker that it has never reached", "[pool]") {
   two_vm_fixture fixture;
