--- a/src/coordination/pool/job_api.cpp
+++ b/src/coordination/pool/job_api.cpp
@@ -39,11 +39,13 @@
 }  // namespace
 
 boost::asio::awaitable<job_api_result> job_api::Submit(job_submission submission, boot_time deadline) {
+  const absl::Status storable = CheckStorable(submission, limits_);
+  if (!storable.ok()) co_return Refuse(error_kind::kJobImpossible, std::string(storable.message()));
   job_entry entry;
   entry.submission = submission;
   const std::string partition = JobPartition(submission.id);
   const std::string text = EncodeSubmission(submission);
-  const std::string progress = EncodeProgress(entry);
+  const std::string progress = EncodeProgress(entry, limits_).row;
   bool outcome_unknown = false;
   while (true) {
     const milliseconds left = deadline - BootNow() - kResponseMargin;
@@ -67,7 +69,11 @@
       }
       co_return job_api_result{};
     }
-    if (result.outcome == transaction_outcome::kNotDone) co_return RefuseWrite(outcome_unknown);
+    if (result.outcome == transaction_outcome::kNotDone) {
+      if (result.is_permanent && !outcome_unknown)
+        co_return Refuse(error_kind::kJobImpossible, "the store refuses the job");
+      co_return RefuseWrite(outcome_unknown);
+    }
     outcome_unknown = true;
   }
 }
--- a/src/coordination/pool/job_api.h
+++ b/src/coordination/pool/job_api.h
@@ -31,10 +31,12 @@
 /// receives jobs and cancellations through the store's change feed.
 class job_api {
  public:
-  /// `store` and `log` must outlive the object.
-  job_api(pool_store& store, event_log& log) : store_(store), log_(log) {}
+  /// `store` and `log` must outlive the object. `limits` are those of the store.
+  job_api(pool_store& store, event_log& log, const progress_limits& limits = {})
+      : store_(store), log_(log), limits_(limits) {}
 
-  /// Stores a job. Submitting the same job again has no effect. Returns before `deadline`.
+  /// Stores a job. Submitting the same job again has no effect. Refuses a job that is too large to be stored.
+  /// Returns before `deadline`.
   boost::asio::awaitable<job_api_result> Submit(state::pool::job_submission submission,
                                                 state::pool::boot_time deadline);
   /// Reads the phase of a job. A job of another workspace is reported as unknown; an empty `workspace`
@@ -57,6 +59,7 @@
 
   pool_store& store_;
   event_log& log_;
+  const progress_limits limits_;
   std::map<std::string, int> waiting_by_queue_;
   state::pool::boot_time counted_at_{};
 };
--- a/src/coordination/pool/partition_writer.cpp
+++ b/src/coordination/pool/partition_writer.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 #include <vector>
 
-#include "coordination/pool/pool_codec.h"
 #include "coordination/pool/pool_tables.h"
 #include "transport/async_event.h"
 #include "transport/boot_clock.h"
@@ -27,9 +26,10 @@
 // job, and four rows for each removal.
 constexpr std::size_t kJobsPerWrite = 30;
 constexpr std::size_t kRemovalsPerWrite = 8;
-
-// A call to the store holds at most 1 MB, in base64 and with the names of the rows.
-constexpr std::size_t kBytesPerWrite = 524'288;
+// Entries for jobs, which leaves those for the epoch and for removals. One job has at most the condition, its
+// row and pool_settings::kMaxProgressRows continuations.
+constexpr std::size_t kJobEntriesPerWrite = 67;
+static_assert(state::pool::pool_settings::kMaxProgressRows + 2 <= kJobEntriesPerWrite);
 // Pauses after a job's progress was refused for good. They are doubled up to the maximum.
 constexpr milliseconds kRefusalPause{500};
 constexpr milliseconds kMaxRefusalPause{8000};
@@ -132,17 +132,24 @@
             [](const auto& left, const auto& right) { return left->second.number < right->second.number; });
   std::size_t max_jobs = kJobsPerWrite;
   std::size_t bytes = 0;
+  std::size_t entries = 0;
   for (const auto& entry : due) {
     max_jobs = std::min(max_jobs, entry->second.max_jobs);
     if (in_progress_.size() >= max_jobs) break;
-    const std::string& id = entry->first;
-    const auto job = state_.jobs().find(id);
+    const auto job = state_.jobs().find(entry->first);
     if (job != state_.jobs().end()) {
-      std::string progress = EncodeProgress(job->second);
-      if (bytes > 0 && bytes + progress.size() > kBytesPerWrite) break;
-      bytes += progress.size();
-      transaction.conditions.push_back({kProgressTable, id, job->second.row_version, partition_});
-      transaction.changes.push_back({kProgressTable, id, std::move(progress), partition_});
+      progress_limits limits = MakeProgressLimits(state_.settings());
+      // The job goes on without the checkpoints that may be the reason of a refusal.
+      limits.has_checkpoints = entry->second.refusals == 0;
+      encoded_progress progress = EncodeProgress(job->second, limits);
+      const std::size_t size = progress.size();
+      const std::size_t rows = 2 + std::max(progress.extra_rows.size(), job->second.extra_rows);
+      const bool fits =
+          bytes + size <= state::pool::pool_settings::kMaxWriteBytes && entries + rows <= kJobEntriesPerWrite;
+      if (!in_progress_.empty() && !fits) break;
+      bytes += size;
+      entries += rows;
+      AddProgress(job->second, std::move(progress), entry->second, transaction);
     }
     in_progress_.insert(changed_.extract(entry));
   }
@@ -151,6 +158,47 @@
   return transaction;
 }
 
+// The condition on the first row also protects the continuations: every write of a job writes that row.
+void partition_writer::AddProgress(state::pool::job_entry& job, encoded_progress progress,
+                                   unstored_change& change, store_transaction& transaction) {
+  const std::string& id = job.submission.id;
+  NoteDroppedCheckpoints(id, progress.dropped_checkpoints);
+  transaction.conditions.push_back({kProgressTable, id, job.row_version, partition_});
+  transaction.changes.push_back({kProgressTable, id, std::move(progress.row), partition_});
+  change.extra_rows = progress.extra_rows.size();
+  for (std::size_t i = 0; i < change.extra_rows; ++i) {
+    transaction.changes.push_back(
+        {kProgressRowsTable, ProgressRowKey(id, i), std::move(progress.extra_rows[i]), partition_});
+  }
+  for (std::size_t i = change.extra_rows; i < job.extra_rows; ++i)
+    transaction.changes.push_back({kProgressRowsTable, ProgressRowKey(id, i), std::nullopt, partition_});
+  job.extra_rows = std::max(job.extra_rows, change.extra_rows);
+}
+
+void partition_writer::NoteDroppedCheckpoints(const std::string& job, int count) {
+  const auto found = dropped_checkpoints_.find(job);
+  const int known = found == dropped_checkpoints_.end() ? 0 : found->second;
+  if (count == known) return;
+  if (known == 0)
+    log_.Write("writer", "checkpoints not stored", {{"id", job}, {"count", std::to_string(count)}});
+  if (count == 0) {
+    dropped_checkpoints_.erase(found);
+  } else {
+    dropped_checkpoints_[job] = count;
+  }
+}
+
+int partition_writer::CountDroppedCheckpoints() const {
+  int sum = 0;
+  for (const auto& [job, count] : dropped_checkpoints_) sum += count;
+  return sum;
+}
+
+void partition_writer::Remove(const std::string& job) {
+  dropped_checkpoints_.erase(job);
+  removals_.insert(job);
+}
+
 void partition_writer::AddRemovals(store_transaction& transaction) {
   while (!removals_.empty() && removals_in_progress_.size() < kRemovalsPerWrite)
     removals_in_progress_.insert(removals_.extract(removals_.begin()));
@@ -184,7 +232,11 @@
     if (!removals_in_progress_.empty()) removal_refusals_ = 0;
     for (const auto& [id, change] : in_progress_) {
       const auto job = state_.jobs().find(id);
-      if (job != state_.jobs().end()) job->second.row_version = result.version;
+      if (job != state_.jobs().end()) {
+        job->second.row_version = result.version;
+        job->second.extra_rows = change.extra_rows;
+        job->second.is_unstorable = false;
+      }
       if (change.refusals > 0) log_.Write("writer", "progress stored again", {{"id", id}});
     }
     in_progress_.clear();
@@ -266,7 +318,11 @@
     ++change.refusals;
     change.retry_at = now + PauseAfterRefusals(change.refusals);
     const auto job = state_.jobs().find(id);
-    const std::size_t bytes = job == state_.jobs().end() ? 0 : EncodeProgress(job->second).size();
+    std::size_t bytes = 0;
+    if (job != state_.jobs().end()) {
+      job->second.is_unstorable = true;
+      bytes = EncodeProgress(job->second, MakeProgressLimits(state_.settings())).size();
+    }
     log_.Write("writer", "progress refused",
                {{"id", id},
                 {"reason", reason},
--- a/src/coordination/pool/partition_writer.h
+++ b/src/coordination/pool/partition_writer.h
@@ -8,6 +8,7 @@
 
 #include "coordination/pool/event_log.h"
 #include "coordination/pool/ownership.h"
+#include "coordination/pool/pool_codec.h"
 #include "coordination/pool/pool_store.h"
 #include "state/pool/pool_state.h"
 #include "transport/wake_signal.h"
@@ -44,8 +45,10 @@
   bool is_storing() const { return failures_ == 0; }
   /// Returns the number of jobs whose progress the store refuses for good.
   int CountRefusedJobs() const;
+  /// Returns the number of checkpoints of open jobs that are left out of the stored progress.
+  int CountDroppedCheckpoints() const;
   /// Removes the rows of a forgotten job with the next transaction.
-  void Remove(const std::string& job) { removals_.insert(job); }
+  void Remove(const std::string& job);
 
  private:
   boost::asio::awaitable<void> WriteOnce();
@@ -57,12 +60,18 @@
     // Number of refusals of transactions that held only this job, and when it may be written again.
     int refusals = 0;
     state::pool::boot_time retry_at{};
+    // Number of continuations in the transaction that writes the change.
+    std::size_t extra_rows = 0;
   };
   using change_map = std::map<std::string, unstored_change>;
 
   bool HasDueWork(state::pool::boot_time now) const;
   // Moves the oldest changes from `changed_` to `in_progress_`, and returns the transaction that writes them.
   store_transaction BeginWrite();
+  // Adds the rows of `job` to `transaction`, and notes in `change` what it writes.
+  void AddProgress(state::pool::job_entry& job, encoded_progress progress, unstored_change& change,
+                   store_transaction& transaction);
+  void NoteDroppedCheckpoints(const std::string& job, int count);
   void AddRemovals(store_transaction& transaction);
   // Moves the changes and removals that were not stored back from `in_progress_`.
   void AbandonWrite();
@@ -91,6 +100,8 @@
   // Number of consecutive refusals of transactions with removals, and when the removals may be written again.
   int removal_refusals_ = 0;
   state::pool::boot_time removals_retry_at_{};
+  // Number of checkpoints that were left out of the latest encoding, by job. Jobs without any have no entry.
+  std::map<std::string, int> dropped_checkpoints_;
   bool urgent_ = false;
   // Number of consecutive writes that were not confirmed.
   int failures_ = 0;
--- a/src/coordination/pool/pool_codec.cpp
+++ b/src/coordination/pool/pool_codec.cpp
@@ -1,6 +1,10 @@
 #include "coordination/pool/pool_codec.h"
 
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace hickorystall::coordination::pool {
 
@@ -10,6 +14,11 @@
 
 namespace {
 
+// Size of a unit that has not begun, or is done, with its separator.
+constexpr std::size_t kPlainUnitBytes = 2;
+// Size of the field with the number of continuations.
+constexpr std::size_t kRowCountBytes = 16;
+
 json EncodeStep(const step_request& step) {
   json row{{"tasks", step.task_count},
            {"cpu_millis", step.need.cpu_millis},
@@ -41,15 +50,18 @@
   return step;
 }
 
+// Units whose checkpoints are left out.
+using unit_set = std::set<const work_unit*>;
+
 // A unit is encoded as 0 before its first start, as 1 when it is done, and as an object in between. The
 // object names the workers on which its latest start may run. `progress_budget` in state/pool/unit_queue.cpp
 // bounds the size of these objects.
-json EncodeUnit(const work_unit& unit) {
+json EncodeUnit(const work_unit& unit, const unit_set& without_checkpoint) {
   if (unit.done) return 1;
   if (unit.last_run == 0) return 0;
   json row{{"run", unit.last_run}};
   if (!unit.failed_runs.empty()) row["failed_runs"] = unit.failed_runs;
-  if (!unit.checkpoint.empty()) row["checkpoint"] = unit.checkpoint;
+  if (!unit.checkpoint.empty() && !without_checkpoint.contains(&unit)) row["checkpoint"] = unit.checkpoint;
   std::set<std::string> workers = unit.unresolved_workers;
   for (const unit_member& member : unit.members) {
     if (member.phase != run_phase::kIdle) workers.insert(member.worker);
@@ -90,6 +102,90 @@
   return false;
 }
 
+// Returns whether the units of the occurrence with this number are stored.
+bool IsStored(const job_entry& job, int number, const occurrence_progress& occurrence) {
+  return !IsFinal(job.phase) && !job.finished_occurrences.contains(number) && HasBegun(occurrence);
+}
+
+// Returns the units whose checkpoints are stored, those with the shortest first.
+std::vector<const work_unit*> UnitsWithCheckpoint(const job_entry& job) {
+  std::vector<const work_unit*> units;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    if (!IsStored(job, number, occurrence)) continue;
+    for (const step_progress& step : occurrence.steps) {
+      for (const work_unit& unit : step.units) {
+        if (!unit.done && unit.last_run > 0 && !unit.checkpoint.empty()) units.push_back(&unit);
+      }
+    }
+  }
+  std::sort(units.begin(), units.end(), [](const work_unit* left, const work_unit* right) {
+    return left->checkpoint.size() < right->checkpoint.size();
+  });
+  return units;
+}
+
+// Units whose checkpoints are left out, and the size of the other checkpoints.
+struct checkpoint_selection {
+  unit_set units;
+  std::size_t kept_bytes = 0;
+};
+
+// Selects the longest checkpoints, so that the others take at most `max_bytes` and few units are affected.
+checkpoint_selection SelectLongestCheckpoints(const std::vector<const work_unit*>& units,
+                                              std::size_t max_bytes) {
+  checkpoint_selection selection;
+  for (const work_unit* unit : units) {
+    const std::size_t size = unit->checkpoint.size();
+    if (selection.units.empty() && selection.kept_bytes + size <= max_bytes) {
+      selection.kept_bytes += size;
+    } else {
+      selection.units.insert(unit);
+    }
+  }
+  return selection;
+}
+
+// The part of the progress that stays in the row of the progress table.
+json EncodeHeader(const job_entry& job) {
+  json header{{"queue", job.submission.queue},
+              {"workspace", job.submission.workspace},
+              {"phase", JobPhaseName(job.phase)}};
+  if (job.submission.request.occurrences > 0) header["scheduled"] = true;
+  return header;
+}
+
+// The part whose size depends on the units.
+json EncodeBody(const job_entry& job, const unit_set& without_checkpoint) {
+  json occurrences = json::object();
+  for (const auto& [number, occurrence] : job.occurrences) {
+    if (!IsStored(job, number, occurrence)) continue;
+    json steps = json::array();
+    for (const step_progress& step : occurrence.steps) {
+      json units = json::array();
+      for (const work_unit& unit : step.units) units.push_back(EncodeUnit(unit, without_checkpoint));
+      steps.push_back(std::move(units));
+    }
+    occurrences[std::to_string(number)] = std::move(steps);
+  }
+  json body{{"occurrences", std::move(occurrences)}};
+  if (!job.finished_occurrences.empty() && !IsFinal(job.phase)) body["finished"] = job.finished_occurrences;
+  return body;
+}
+
+json Merge(json header, json body) {
+  for (auto& [name, value] : body.items()) header[name] = std::move(value);
+  return header;
+}
+
+// Stores `body` in continuations. Without "occurrences" in the row itself, a version that does not know of
+// continuations takes the job as unreadable and leaves it alone.
+void SplitIntoRows(json header, std::string_view body, std::size_t row_bytes, encoded_progress& encoded) {
+  for (std::size_t begin = 0; begin < body.size(); begin += row_bytes)
+    encoded.extra_rows.emplace_back(body.substr(begin, row_bytes));
+  header["rows"] = encoded.extra_rows.size();
+  encoded.row = header.dump();
+}
+
 }  // namespace
 
 std::string EncodeSubmission(const job_submission& submission) {
@@ -137,25 +233,57 @@
   }
 }
 
-std::string EncodeProgress(const job_entry& job) {
-  json occurrences = json::object();
-  for (const auto& [number, occurrence] : job.occurrences) {
-    if (job.finished_occurrences.contains(number) || !HasBegun(occurrence)) continue;
-    json steps = json::array();
-    for (const step_progress& step : occurrence.steps) {
-      json units = json::array();
-      for (const work_unit& unit : step.units) units.push_back(EncodeUnit(unit));
-      steps.push_back(std::move(units));
+progress_limits MakeProgressLimits(const pool_settings& settings) {
+  return {settings.max_row_bytes, settings.MaxProgressBytes(), true};
+}
+
+absl::Status CheckStorable(const job_submission& submission, const progress_limits& limits) {
+  const std::size_t row_bytes = EncodeSubmission(submission).size();
+  if (row_bytes > limits.row_bytes) {
+    return absl::InvalidArgumentError(absl::StrCat("the job takes ", row_bytes, " bytes to store; at most ",
+                                                   limits.row_bytes, " are possible"));
+  }
+  job_entry job;
+  job.submission = submission;
+  const std::size_t header_bytes = EncodeHeader(job).dump().size() + kRowCountBytes;
+  if (header_bytes > limits.row_bytes) {
+    return absl::InvalidArgumentError("the names of the queue and the workspace are too long to be stored");
+  }
+  std::size_t tasks = 0;
+  for (const step_request& step : submission.request.steps)
+    tasks += static_cast<std::size_t>(step.task_count);
+  const std::size_t max_tasks = limits.total_bytes / 2 / kPlainUnitBytes;
+  if (tasks > max_tasks) {
+    return absl::InvalidArgumentError(
+        absl::StrCat("the job has ", tasks, " tasks; at most ", max_tasks, " are possible"));
+  }
+  return absl::OkStatus();
+}
+
+std::size_t encoded_progress::size() const {
+  std::size_t size = row.size();
+  for (const std::string& extra : extra_rows) size += extra.size();
+  return size;
+}
+
+encoded_progress EncodeProgress(const job_entry& job, const progress_limits& limits) {
+  const std::vector<const work_unit*> units = UnitsWithCheckpoint(job);
+  std::size_t checkpoint_bytes = limits.has_checkpoints ? limits.total_bytes : 0;
+  encoded_progress encoded;
+  while (true) {
+    const checkpoint_selection left_out = SelectLongestCheckpoints(units, checkpoint_bytes);
+    encoded.dropped_checkpoints = static_cast<int>(left_out.units.size());
+    encoded.row = Merge(EncodeHeader(job), EncodeBody(job, left_out.units)).dump();
+    if (encoded.row.size() <= limits.row_bytes) return encoded;
+    const std::string body = EncodeBody(job, left_out.units).dump();
+    if (body.size() <= limits.total_bytes || left_out.units.size() == units.size()) {
+      SplitIntoRows(EncodeHeader(job), body, limits.row_bytes, encoded);
+      return encoded;
     }
-    occurrences[std::to_string(number)] = std::move(steps);
+    // The quotes and escapes of checkpoints and the other parts of the units also take space.
+    const std::size_t excess = body.size() - limits.total_bytes;
+    checkpoint_bytes = left_out.kept_bytes > excess ? left_out.kept_bytes - excess : 0;
   }
-  json row{{"queue", job.submission.queue},
-           {"workspace", job.submission.workspace},
-           {"phase", JobPhaseName(job.phase)},
-           {"occurrences", IsFinal(job.phase) ? json::object() : std::move(occurrences)}};
-  if (job.submission.request.occurrences > 0) row["scheduled"] = true;
-  if (!job.finished_occurrences.empty()) row["finished"] = job.finished_occurrences;
-  return row.dump();
 }
 
 absl::StatusOr<stored_progress> DecodeProgress(std::string_view text) {
@@ -168,20 +296,23 @@
     progress.workspace = row.at("workspace");
     progress.phase = *phase;
     progress.is_scheduled = row.value("scheduled", false);
+    progress.extra_rows = row.value("rows", std::size_t{0});
     return progress;
   } catch (const json::exception& error) {
     return absl::DataLossError(error.what());
   }
 }
 
-absl::Status RestoreProgress(std::string_view text, job_entry& job) {
+absl::Status RestoreProgress(std::string_view text, std::string_view continuation, job_entry& job) {
   try {
     const json row = json::parse(text);
     const std::optional<job_phase> phase = ParseJobPhase(row.at("phase").get<std::string>());
     if (!phase) return absl::DataLossError("unknown phase");
     job.phase = *phase;
-    job.finished_occurrences = row.value("finished", std::set<int>{});
-    for (const auto& [number, steps] : row.at("occurrences").items()) {
+    job.extra_rows = row.value("rows", std::size_t{0});
+    const json body = job.extra_rows > 0 ? json::parse(continuation) : row;
+    job.finished_occurrences = body.value("finished", std::set<int>{});
+    for (const auto& [number, steps] : body.at("occurrences").items()) {
       occurrence_progress occurrence = MakeOccurrence(job.submission.request);
       RestoreOccurrence(steps, occurrence);
       job.occurrences[std::stoi(number)] = std::move(occurrence);
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -47,6 +47,27 @@
 constexpr milliseconds kWaitReportInterval{1000};
 constexpr std::size_t kMaxWaitRecords = 5;
 
+// Returns whether a row of the progress table is continued in other rows.
+bool HasContinuations(const rows_result& progress) {
+  return std::any_of(progress.rows.begin(), progress.rows.end(), [](const stored_row& row) {
+    const absl::StatusOr<stored_progress> decoded = DecodeProgress(row.value);
+    return decoded.ok() && decoded->extra_rows > 0;
+  });
+}
+
+// Returns the continuations of the progress `text` of job `id`, as far as they exist.
+std::string JoinContinuations(const std::string& id, std::string_view text,
+                              const std::map<std::string, const stored_row*>& rows) {
+  std::string joined;
+  const absl::StatusOr<stored_progress> progress = DecodeProgress(text);
+  const std::size_t count = progress.ok() ? progress->extra_rows : 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto row = rows.find(ProgressRowKey(id, i));
+    if (row != rows.end()) joined += row->second->value;
+  }
+  return joined;
+}
+
 }  // namespace
 
 pool_owner::pool_owner(pool_owner_parts parts, pool_settings settings, std::int64_t epoch,
@@ -139,7 +160,13 @@
     const rows_result jobs =
         co_await parts_.store->ReadRange(kJobsTable, std::string(partition), "", "", kReplyTimeout);
     if (!jobs.status.ok()) co_return false;
-    ApplyStoredJobs(progress, jobs);
+    rows_result continuations;
+    if (HasContinuations(progress)) {
+      continuations =
+          co_await parts_.store->ReadRange(kProgressRowsTable, std::string(partition), "", "", kReplyTimeout);
+      if (!continuations.status.ok()) co_return false;
+    }
+    ApplyStoredJobs(progress, continuations, jobs);
     // The feed continues from the first read, so that it returns every change made after any of the reads.
     if (!position) position = jobs.version;
   }
@@ -147,9 +174,12 @@
   co_return true;
 }
 
-void pool_owner::ApplyStoredJobs(const rows_result& progress, const rows_result& jobs) {
+void pool_owner::ApplyStoredJobs(const rows_result& progress, const rows_result& continuations,
+                                 const rows_result& jobs) {
   std::map<std::string, const stored_row*> progress_rows;
   for (const stored_row& row : progress.rows) progress_rows[row.key] = &row;
+  std::map<std::string, const stored_row*> continuation_rows;
+  for (const stored_row& row : continuations.rows) continuation_rows[row.key] = &row;
   const boot_time now = BootNow();
   const unix_time wall_now = parts_.wall_clock->At(now);
   std::vector<std::string> cancelled;
@@ -166,7 +196,10 @@
       job.submission = *std::move(submission);
       job.row_version = stored == progress_rows.end() ? row.version : stored->second->version;
       job.accepted_at = now - std::max(milliseconds(0), wall_now - job.submission.accepted_at);
-      if (stored != progress_rows.end()) status = RestoreProgress(stored->second->value, job);
+      if (stored != progress_rows.end()) {
+        const std::string& text = stored->second->value;
+        status = RestoreProgress(text, JoinContinuations(row.key, text, continuation_rows), job);
+      }
     }
     if (!status.ok()) {
       // An accepted job is never dropped: its rows are kept for an operator.
@@ -464,6 +497,11 @@
     text += absl::StrCat("hickorystall_pool_waiting_jobs{cause=\"", cause, "\"} ", waits_.jobs_by_cause()[i],
                          "\n");
   }
+  text += absl::StrCat("# TYPE hickorystall_pool_refused_jobs gauge\nhickorystall_pool_refused_jobs ",
+                       writer_.CountRefusedJobs(), "\n");
+  text += absl::StrCat(
+      "# TYPE hickorystall_pool_unstored_checkpoints gauge\nhickorystall_pool_unstored_checkpoints ",
+      writer_.CountDroppedCheckpoints(), "\n");
   return text;
 }
 
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -71,7 +71,8 @@
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<bool> Load();
   boost::asio::awaitable<bool> LoadJobs();
-  void ApplyStoredJobs(const rows_result& progress, const rows_result& jobs);
+  void ApplyStoredJobs(const rows_result& progress, const rows_result& continuations,
+                       const rows_result& jobs);
   boost::asio::awaitable<bool> LoadWorkers();
   boost::asio::awaitable<void> FollowJobs();
   boost::asio::awaitable<void> FollowRegistry();
--- a/src/coordination/pool/pool_owner_orders.cpp
+++ b/src/coordination/pool/pool_owner_orders.cpp
@@ -33,6 +33,9 @@
 // Time after which a start that was never sent is given up, so that its unit starts at another worker. It
 // allows for one lost reply: its timeout, the pause of the session, and a retry.
 constexpr milliseconds kUnsentStartTimeout{1000};
+// Time after which starts that the store has not recorded are given up, so that they do not hold capacity
+// that other jobs can use. It is several times the reply time of a slow store, which is 0.4 s.
+constexpr milliseconds kRecordTimeout{3000};
 // Time allowed for storing ends. When it has passed, the worker's lists are read again without acknowledging
 // the ends.
 constexpr milliseconds kStoreWait{500};
@@ -208,10 +211,18 @@
 // A later owner must know which workers to ask before it starts the same units, so the starts are recorded
 // before they are sent.
 asio::awaitable<void> pool_owner::SendStarts(std::string job, std::vector<worker_order> orders) {
-  bool is_recorded = false;
-  while (!stopped_ && !is_recorded) is_recorded = co_await writer_.WaitJobStored(job, kStoreWait);
+  const bool is_recorded = co_await writer_.WaitJobStored(job, kRecordTimeout);
   if (stopped_) co_return;
-  for (worker_order& order : orders) Spawn(SendStart(std::move(order)));
+  if (is_recorded) {
+    for (worker_order& order : orders) Spawn(SendStart(std::move(order)));
+    co_return;
+  }
+  parts_.log->Write("scheduler", "starts not recorded",
+                    {{"id", job}, {"starts", std::to_string(orders.size())}});
+  state_.HoldUntilStored(job);
+  for (const worker_order& order : orders)
+    state_.HandleStartReply(order.task, order.run, start_reply::kNotRecorded, BootNow());
+  Wake();
 }
 
 asio::awaitable<order_reply> pool_owner::TryStart(const worker_order& order,
--- a/src/coordination/pool/pool_tables.h
+++ b/src/coordination/pool/pool_tables.h
@@ -27,6 +27,13 @@
 /// Progress by job id, and a copy of each cancellation, so that a single read of this small table is enough
 /// to determine a job's state. A job's progress is written with the submission, afterwards by the owner only.
 inline constexpr char kProgressTable[] = "progress";
+/// Continuations of rows of the progress table that would exceed the size limit of a row, by
+/// `ProgressRowKey`. A table of their own keeps them out of the reads that serve clients.
+inline constexpr char kProgressRowsTable[] = "progress_rows";
+/// Key of continuation `number`, from 0, of the progress of job `id`.
+inline std::string ProgressRowKey(std::string_view id, std::size_t number) {
+  return std::string(id) + "." + std::to_string(number);
+}
 /// Epoch and lease of the pool's owner.
 inline constexpr char kOwnershipTable[] = "ownership";
 /// Row that changes with each new owner. Every write of an owner is conditional on it.
--- a/src/coordination/pool/progress_writer.cpp
+++ b/src/coordination/pool/progress_writer.cpp
@@ -44,6 +44,12 @@
   return count;
 }
 
+int progress_writer::CountDroppedCheckpoints() const {
+  int count = 0;
+  for (const auto& writer : writers_) count += writer->CountDroppedCheckpoints();
+  return count;
+}
+
 void progress_writer::DistributeChanges() {
   const bool urgent = state_.has_urgent_change();
   for (const std::string& job : state_.TakeChangedJobs()) WriterOf(job).Add(job, urgent);
--- a/src/coordination/pool/progress_writer.h
+++ b/src/coordination/pool/progress_writer.h
@@ -38,6 +38,8 @@
   bool is_storing() const;
   /// Returns the number of jobs whose progress the store refuses for good.
   int CountRefusedJobs() const;
+  /// Returns the number of checkpoints of open jobs that are left out of the stored progress.
+  int CountDroppedCheckpoints() const;
   /// Removes the rows of a forgotten job with the next transaction.
   void Remove(const std::string& job) { WriterOf(job).Remove(job); }
 
--- a/src/state/pool/job_entry.h
+++ b/src/state/pool/job_entry.h
@@ -153,6 +153,10 @@
   boot_time accepted_at{};
   /// Version of the stored row that holds the progress.
   std::int64_t row_version = 0;
+  /// Upper bound of the number of stored rows that continue that row.
+  std::size_t extra_rows = 0;
+  /// True while the store does not take the progress, until its next write is confirmed. No unit starts then.
+  bool is_unstorable = false;
   /// When a task of the job last ran on a reachable worker, as seen by the latest planning pass. Zero if none
   /// has run under this owner.
   boot_time last_run_at{};
--- a/src/state/pool/pool_settings.h
+++ b/src/state/pool/pool_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 
@@ -16,8 +17,8 @@
   /// Time within which all members of a gang must have started.
   std::chrono::milliseconds gang_timeout{3000};
 
-  /// Maximum size of the stored progress of one job, in bytes: the store's limit of a row.
-  std::size_t max_progress_bytes = 65'536;
+  /// Maximum size of the value of a row of the store, in bytes.
+  std::size_t max_row_bytes = 65'536;
 
   /// Maximum age of the known jobs and registrations with which units are started. Older knowledge may miss
   /// the cancellation of a job or the notice that a worker leaves.
@@ -47,6 +48,18 @@
   std::chrono::milliseconds avoid_time{1500};
   /// Maximum time for which a worker is avoided, after which a repaired one is used again.
   std::chrono::milliseconds max_avoid_time{6000};
+
+  /// Maximum size of the stored progress of one job over all its rows, in bytes. All rows are written in one
+  /// transaction.
+  std::size_t MaxProgressBytes() const { return std::min(kMaxProgressRows * max_row_bytes, kMaxWriteBytes); }
+  /// Maximum size of a checkpoint, in bytes. Longer ones are dropped.
+  std::size_t MaxCheckpointBytes() const { return max_row_bytes; }
+
+  /// A transaction of the store holds up to 100 rows. Those of one job leave space for conditions and for the
+  /// removal of finished jobs.
+  static constexpr std::size_t kMaxProgressRows = 60;
+  /// A call to the store holds up to 1 MB, in base64 and with the names of the rows.
+  static constexpr std::size_t kMaxWriteBytes = 524'288;
 };
 
 }  // namespace hickorystall::state::pool
--- a/src/state/pool/pool_state.cpp
+++ b/src/state/pool/pool_state.cpp
@@ -99,6 +99,14 @@
   return rules == nullptr ? job.submission.max_attempts : rules->max_attempts;
 }
 
+void pool_state::HoldUntilStored(const std::string& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  found->second.is_unstorable = true;
+  // The write that ends the hold.
+  MarkChanged(found->second, false);
+}
+
 void pool_state::AddJob(job_entry job, boot_time now) {
   const std::string id = job.submission.id;
   const auto [found, is_new] = jobs_.emplace(id, std::move(job));
@@ -159,7 +167,9 @@
   });
   std::vector<std::string> forgotten;
   for (auto job = jobs_.begin(); job != jobs_.end();) {
-    if (job->second.final_at && *job->second.final_at < limit && !open_jobs_.contains(job->first)) {
+    // A job with continuations still needs a write that removes them.
+    const bool is_removable = !open_jobs_.contains(job->first) && job->second.extra_rows == 0;
+    if (is_removable && job->second.final_at && *job->second.final_at < limit) {
       forgotten.push_back(job->first);
       job = jobs_.erase(job);
     } else {
@@ -354,7 +364,9 @@
     return;
   }
   AddEvent(pool_event_kind::kStartRefused, location->position.job, task, run, worker_id,
-           reply == start_reply::kNoReply ? "no reply" : "refused");
+           reply == start_reply::kNoReply       ? "no reply"
+           : reply == start_reply::kNotRecorded ? "not recorded"
+                                                : "refused");
   if (reply == start_reply::kNoReply) {
     if (location->member->phase == run_phase::kOrdered) StopOtherMembers(*location);
     return;
@@ -364,7 +376,7 @@
     if (worker != nullptr) worker->avoided_until = now + settings_.avoid_time;
   }
   // The reason for a refusal can persist on this worker, such as runs there that this owner does not know.
-  location->unit->failed_on.insert(worker_id);
+  if (reply != start_reply::kNotRecorded) location->unit->failed_on.insert(worker_id);
   Release(*location);
   StopOtherMembers(*location);
 }
--- a/src/state/pool/pool_state.h
+++ b/src/state/pool/pool_state.h
@@ -43,6 +43,8 @@
   kWorkerUnhealthy,
   /// No reply in time. The run may start at any time until the lease of the order expires.
   kNoReply,
+  /// The start was not sent, because the store did not take its record in time.
+  kNotRecorded,
 };
 
 /// State of one pool under one ownership: jobs, workers, and what runs where. It applies what workers,
@@ -57,6 +59,8 @@
   /// Replaces the current configuration.
   void SetConfig(std::shared_ptr<const pool_config> config);
 
+  /// Starts nothing of `job` until its progress is stored again.
+  void HoldUntilStored(const std::string& job);
   /// Adds a job that is new or was loaded from the store. Does nothing if the job is known.
   void AddJob(job_entry job, boot_time now);
   /// Cancels a job unless it is final.
@@ -217,6 +221,9 @@
   void ApplyEnd(worker_entry& worker, const listed_end& end, boot_time now);
   // Applies an active run that is listed. It may have been started by an earlier owner.
   void ApplyRunning(worker_entry& worker, const listed_run& run, boot_time now);
+  // Takes over a checkpoint that a worker listed. Returns false if there is none or it is too long; an
+  // earlier one is then kept.
+  bool TakeCheckpoint(work_unit& unit, const std::string& checkpoint) const;
   void SetAvoided(worker_entry& worker, const std::string& reason, boot_time now);
   void ApplyFailure(const task_location& location, worker_entry& worker, std::int64_t run, boot_time now);
   void ApplyDone(const task_location& location, boot_time now);
--- a/src/state/pool/pool_state_workers.cpp
+++ b/src/state/pool/pool_state_workers.cpp
@@ -350,7 +350,13 @@
     member.percent = run.percent;
     member.progress_at = now;
   }
-  if (!run.checkpoint.empty()) unit.checkpoint = run.checkpoint;
+  TakeCheckpoint(unit, run.checkpoint);
+}
+
+bool pool_state::TakeCheckpoint(work_unit& unit, const std::string& checkpoint) const {
+  if (checkpoint.empty() || checkpoint.size() > settings_.MaxCheckpointBytes()) return false;
+  unit.checkpoint = checkpoint;
+  return true;
 }
 
 void pool_state::StopForeignRun(worker_entry& worker, const listed_run& run) {
@@ -395,10 +401,7 @@
   unit.last_run = std::max(unit.last_run, end.run);
   MarkBegun(*location->job);
   if (unit.done || IsFinal(location->job->phase)) return;
-  if (!end.checkpoint.empty() && !superseded) {
-    unit.checkpoint = end.checkpoint;
-    MarkChanged(*location->job, false);
-  }
+  if (!superseded && TakeCheckpoint(unit, end.checkpoint)) MarkChanged(*location->job, false);
   switch (end.kind) {
     case end_kind::kDone:
       worker.failures_in_row = 0;
--- a/src/state/pool/unit_queue.cpp
+++ b/src/state/pool/unit_queue.cpp
@@ -148,10 +148,12 @@
 constexpr std::size_t kJobBytes = 200;
 constexpr std::size_t kOccurrenceBytes = 16;
 constexpr std::size_t kFinishedOccurrenceBytes = 5;
-// Expected size of a checkpoint before the job has one.
+// Expected size of a checkpoint before the job has one, and the maximum that is reserved for one. A longer
+// one is left out of the stored progress if necessary, rather than that few units of the job run at once.
 constexpr std::size_t kExpectedCheckpoint = 24;
-// Share of a row that starts may fill. The rest is for failed runs and checkpoints that grow.
-constexpr double kRowShareForStarts = 0.875;
+constexpr std::size_t kMaxReservedCheckpoint = 512;
+// Share of the stored progress that starts may fill. The rest is for failed runs and checkpoints that grow.
+constexpr double kShareForStarts = 0.875;
 
 // Returns the size of `text` in JSON.
 std::size_t EscapedSize(std::string_view text) {
@@ -170,80 +172,121 @@
   return longest;
 }
 
-// Bounds the units of one job that have begun and are not done, so that the progress of the job fits into a
-// row of the store. The other units start as these end. Units that have begun before may always start again,
-// since their place in the row is taken.
+// Bounds the units of one job that have begun and are not done, so that the progress of the job without its
+// checkpoints fits into the rows that the store allows for it. The other units start as these end.
 class progress_budget {
  public:
   progress_budget(const pool_state& state, const job_entry& job, std::size_t longest_worker_id)
-      : longest_worker_id_(longest_worker_id) {
+      : longest_worker_id_(longest_worker_id), worker_count_(state.workers().size()), job_(job) {
     for (const auto& [number, occurrence] : job.occurrences) {
       for (const step_progress& step : occurrence.steps) {
         for (const work_unit& unit : step.units)
           largest_checkpoint_ = std::max(largest_checkpoint_, EscapedSize(unit.checkpoint));
       }
     }
-    std::size_t used = kJobBytes + EscapedSize(job.submission.queue) + EscapedSize(job.submission.workspace) +
-                       kFinishedOccurrenceBytes * job.finished_occurrences.size();
+    const std::size_t fixed = kJobBytes + EscapedSize(job.submission.queue) +
+                              EscapedSize(job.submission.workspace) +
+                              kFinishedOccurrenceBytes * job.finished_occurrences.size();
+    // With and without what is reserved for checkpoints and for the workers of idle units.
+    std::size_t reserved = fixed;
+    std::size_t stored = fixed;
     for (const auto& [number, occurrence] : job.occurrences) {
-      if (job.finished_occurrences.contains(number)) continue;
-      used += kOccurrenceBytes;
+      if (job.finished_occurrences.contains(number) || !HasBegun(occurrence)) continue;
+      reserved += PlainSize(occurrence);
+      stored += PlainSize(occurrence);
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
         const bool checkpointable = job.submission.request.steps[step].checkpointable;
         for (const work_unit& unit : occurrence.steps[step].units) {
-          const bool is_begun = unit.last_run > 0 && !unit.done;
-          has_begun_ = has_begun_ || is_begun;
-          used += is_begun ? BegunSize(unit, checkpointable) : kPlainUnitBytes;
+          if (unit.last_run == 0 || unit.done) continue;
+          const bool is_idle = unit.IsIdle() && unit.unresolved_workers.empty();
+          is_active_ = is_active_ || !is_idle;
+          reserved += BegunSize(unit) + CheckpointSize(checkpointable);
+          stored += is_idle ? BegunSize(unit) - WorkersSize(unit) : BegunSize(unit);
         }
       }
     }
-    const auto limit = static_cast<std::size_t>(static_cast<double>(state.settings().max_progress_bytes) *
-                                                kRowShareForStarts);
-    left_ = limit > used ? limit - used : 0;
+    const std::size_t limit = state.settings().MaxProgressBytes();
+    const auto limit_for_starts = static_cast<std::size_t>(static_cast<double>(limit) * kShareForStarts);
+    left_ = limit_for_starts > reserved ? limit_for_starts - reserved : 0;
+    left_for_repeats_ = limit > stored ? limit - stored : 0;
   }
 
-  // Removes the units that may not begin now from the steps of `job`, which share what is left: a step that
-  // finds no worker takes nothing from the others.
+  // Removes the units that may not start now from the steps of `job`. The steps share what is left for first
+  // starts: a step that finds no worker takes nothing from the others.
   void Restrict(std::vector<waiting_step>& steps) const {
     std::size_t beginning = 0;
     for (const waiting_step& step : steps) beginning += CountNew(step) > 0 ? 1 : 0;
-    if (beginning == 0) return;
-    const std::size_t share = left_ / beginning;
+    const std::size_t share = beginning == 0 ? 0 : left_ / beginning;
+    std::size_t left_for_repeats = left_for_repeats_;
     for (waiting_step& step : steps) {
-      const work_unit& first = step.progress->units[step.units.front()];
-      std::size_t allowed = share / BegunSize(first, step.request->checkpointable);
-      // A job with nothing in progress starts something, whatever its size.
-      if (!has_begun_) allowed = std::max<std::size_t>(allowed, 1);
-      std::erase_if(step.units, [&](int unit) {
-        if (step.progress->units[unit].last_run > 0) return false;
-        if (allowed == 0) return true;
-        --allowed;
-        return false;
+      // A job with nothing active starts something, whatever its size.
+      bool is_forced = !is_active_;
+      std::size_t left = share;
+      const auto& occurrence = job_.occurrences.at(step.occurrence);
+      const std::size_t occurrence_bytes = HasBegun(occurrence) ? 0 : PlainSize(occurrence);
+      left = left > occurrence_bytes ? left - occurrence_bytes : 0;
+      std::erase_if(step.units, [&](int index) {
+        const work_unit& unit = step.progress->units[index];
+        const bool is_new = unit.last_run == 0;
+        const std::size_t size =
+            is_new ? BegunSize(unit) + CheckpointSize(step.request->checkpointable) : WorkersSize(unit);
+        std::size_t& available = is_new ? left : left_for_repeats;
+        const bool is_allowed = is_forced || size <= available;
+        if (is_allowed) available -= std::min(size, available);
+        is_forced = false;
+        return !is_allowed;
       });
     }
     std::erase_if(steps, [](const waiting_step& step) { return step.units.empty(); });
   }
 
  private:
+  static bool HasBegun(const occurrence_progress& occurrence) {
+    return std::any_of(occurrence.steps.begin(), occurrence.steps.end(), [](const step_progress& step) {
+      return std::any_of(step.units.begin(), step.units.end(),
+                         [](const work_unit& unit) { return unit.done || unit.last_run > 0; });
+    });
+  }
+
   static std::size_t CountNew(const waiting_step& step) {
     return std::count_if(step.units.begin(), step.units.end(),
                          [&](int unit) { return step.progress->units[unit].last_run == 0; });
   }
 
-  // Returns the size of `unit` once it has begun.
-  std::size_t BegunSize(const work_unit& unit, bool checkpointable) const {
-    const std::size_t workers = unit.members.size() + unit.unresolved_workers.size();
-    std::size_t size = kUnitBytes + kWorkersBytes + workers * (longest_worker_id_ + kWorkerBytes);
-    if (checkpointable) size += kCheckpointBytes + std::max(largest_checkpoint_, kExpectedCheckpoint);
-    if (!unit.failed_runs.empty()) size += kFailuresBytes + kFailureBytes * unit.failed_runs.size();
+  // Returns the size of an occurrence without what its units take when they have begun.
+  static std::size_t PlainSize(const occurrence_progress& occurrence) {
+    std::size_t size = kOccurrenceBytes;
+    for (const step_progress& step : occurrence.steps) size += kPlainUnitBytes * step.units.size();
     return size;
   }
 
+  // Returns what `unit` takes once it has begun, without its checkpoint.
+  std::size_t BegunSize(const work_unit& unit) const {
+    const std::size_t failures =
+        unit.failed_runs.empty() ? 0 : kFailuresBytes + kFailureBytes * unit.failed_runs.size();
+    return kUnitBytes + WorkersSize(unit) + failures;
+  }
+
+  // Returns what the ids of the workers of `unit` take. Members of a gang may share a worker.
+  std::size_t WorkersSize(const work_unit& unit) const {
+    const std::size_t workers = std::min(unit.members.size() + unit.unresolved_workers.size(), worker_count_);
+    return kWorkersBytes + workers * (longest_worker_id_ + kWorkerBytes);
+  }
+
+  std::size_t CheckpointSize(bool checkpointable) const {
+    if (!checkpointable) return 0;
+    return kCheckpointBytes + std::clamp(largest_checkpoint_, kExpectedCheckpoint, kMaxReservedCheckpoint);
+  }
+
   const std::size_t longest_worker_id_;
+  const std::size_t worker_count_;
+  const job_entry& job_;
   std::size_t largest_checkpoint_ = 0;
-  bool has_begun_ = false;
-  // Bytes that units may take that have not begun.
+  // True if a unit runs or may run.
+  bool is_active_ = false;
+  // Bytes that may be taken by units that have not begun, and by units that start again.
   std::size_t left_ = 0;
+  std::size_t left_for_repeats_ = 0;
 };
 
 }  // namespace
@@ -255,7 +298,7 @@
   const std::set<unit_position> units_with_unaccounted_runs = UnitsWithUnaccountedRuns(state);
   const std::size_t longest_worker_id = LongestWorkerId(state);
   for (const auto& [id, job] : state.open_jobs()) {
-    if (IsFinal(job->phase)) continue;
+    if (IsFinal(job->phase) || job->is_unstorable) continue;
     const int priority = QueuePriority(state, *job);
     std::vector<waiting_step> steps;
     for (const auto& [number, occurrence] : job->occurrences) {
--- a/src/state/pool/wait_cause.h
+++ b/src/state/pool/wait_cause.h
@@ -28,10 +28,12 @@
   kStopUnconfirmed,
   /// The worker of the latest run does not reply, and its lease has not expired.
   kWorkerUnreachable,
+  /// The store does not take the progress of the job.
+  kProgressNotStored,
 };
 
 /// Number of enumerators of `wait_cause`.
-inline constexpr int kWaitCauses = 11;
+inline constexpr int kWaitCauses = 12;
 
 /// Returns the name of `cause` as used in log records and metrics.
 std::string_view WaitCauseName(wait_cause cause);
--- a/src/state/pool/wait_monitor.cpp
+++ b/src/state/pool/wait_monitor.cpp
@@ -14,9 +14,9 @@
 
 // Indexed by wait_cause.
 constexpr std::array<std::string_view, kWaitCauses> kCauseNames{
-    "planning_paused",   "unresolved_worker", "former_owner",      "unaccounted_run",
-    "headroom",          "no_near_capacity",  "no_capacity",       "capacity_reserved",
-    "start_unconfirmed", "stop_unconfirmed",  "worker_unreachable"};
+    "planning_paused",   "unresolved_worker", "former_owner",       "unaccounted_run",
+    "headroom",          "no_near_capacity",  "no_capacity",        "capacity_reserved",
+    "start_unconfirmed", "stop_unconfirmed",  "worker_unreachable", "progress_not_stored"};
 
 struct unit_wait {
   wait_cause cause;
@@ -31,8 +31,9 @@
   return std::nullopt;
 }
 
-unit_wait WaitOfIdleUnit(const unit_position& position, const work_unit& unit,
+unit_wait WaitOfIdleUnit(const job_entry& job, const unit_position& position, const work_unit& unit,
                          const std::vector<unplaced_step>* unplaced, boot_time now) {
+  if (job.is_unstorable) return {wait_cause::kProgressNotStored, ""};
   if (!unit.unresolved_workers.empty())
     return {wait_cause::kUnresolvedWorker, *unit.unresolved_workers.begin()};
   if (now < unit.repeatable_until) return {wait_cause::kFormerOwner, ""};
@@ -64,7 +65,7 @@
         }
         if (first) continue;
         const unit_position position{job.submission.id, number, static_cast<int>(i), static_cast<int>(index)};
-        if (!wait) wait = WaitOfIdleUnit(position, unit, unplaced, now);
+        if (!wait) wait = WaitOfIdleUnit(job, position, unit, unplaced, now);
         first = waiting_job{position.job, TaskName(position.job, number, position.step, unit.first_task),
                             wait->cause, wait->worker, milliseconds(0)};
       }
--- a/tests/coordination/pool/owner_vm.cpp
+++ b/tests/coordination/pool/owner_vm.cpp
@@ -77,7 +77,7 @@
   job.submission.request.steps = {step};
   store.ApplyNow({{},
                   {{kJobsTable, id, EncodeSubmission(job.submission), JobPartition(id)},
-                   {kProgressTable, id, EncodeProgress(job), JobPartition(id)}}});
+                   {kProgressTable, id, EncodeProgress(job).row, JobPartition(id)}}});
 }
 
 asio::awaitable<bool> WaitUntil(std::function<bool()> holds, std::chrono::milliseconds limit) {
--- a/tests/coordination/pool/ownership_test.cpp
+++ b/tests/coordination/pool/ownership_test.cpp
@@ -328,7 +328,7 @@
     job.submission.id = "00000000000000aa";
     job.submission.request.steps.resize(1);
     const store_transaction accepted{
-        {}, {{kProgressTable, job.submission.id, EncodeProgress(job), JobPartition(job.submission.id)}}};
+        {}, {{kProgressTable, job.submission.id, EncodeProgress(job).row, JobPartition(job.submission.id)}}};
     job.row_version = store.ApplyNow(accepted).version;
     pool_state state(pool_settings{}, owner.epoch());
     state.AddJob(job, BootNow());
@@ -368,7 +368,8 @@
     job.submission.request.steps.resize(1);
     const std::string partition = JobPartition(job.submission.id);
     job.row_version =
-        store.ApplyNow({{}, {{kProgressTable, job.submission.id, EncodeProgress(job), partition}}}).version;
+        store.ApplyNow({{}, {{kProgressTable, job.submission.id, EncodeProgress(job).row, partition}}})
+            .version;
     pool_state state(pool_settings{}, owner.epoch());
     state.AddJob(job, BootNow());
     state.MakeDueOccurrences(BootNow(), unix_time{});
--- a/tests/coordination/pool/partition_writer_test.cpp
+++ b/tests/coordination/pool/partition_writer_test.cpp
@@ -81,7 +81,7 @@
     store_transaction transaction;
     transaction.changes.push_back({kJobsTable, id, EncodeSubmission(job.submission), JobPartition(id)});
     if (has_progress_row)
-      transaction.changes.push_back({kProgressTable, id, EncodeProgress(job), JobPartition(id)});
+      transaction.changes.push_back({kProgressTable, id, EncodeProgress(job).row, JobPartition(id)});
     job.row_version = store.ApplyNow(transaction).version;
     state.AddJob(std::move(job), BootNow());
     state.MakeDueOccurrences(BootNow(), transport::WallNow());
@@ -163,7 +163,7 @@
   job.submission.request.steps = {step};
   store.ApplyNow({{},
                   {{kJobsTable, id, EncodeSubmission(job.submission), JobPartition(id)},
-                   {kProgressTable, id, EncodeProgress(job), JobPartition(id)}}});
+                   {kProgressTable, id, EncodeProgress(job).row, JobPartition(id)}}});
 }
 
 }  // namespace
@@ -194,7 +194,8 @@
     const bool is_stored_later = co_await writer.WaitJobStored(JobId(1), milliseconds(15'000));
     CHECK(is_stored_later);
     CHECK(writer.CountRefusedJobs() == 0);
-    CHECK(fixture.store.Value(kProgressTable, JobId(1)) == EncodeProgress(fixture.state.jobs().at(JobId(1))));
+    CHECK(fixture.store.Value(kProgressTable, JobId(1)) ==
+          EncodeProgress(fixture.state.jobs().at(JobId(1))).row);
   });
 }
 
@@ -298,19 +299,26 @@
   loop.run();
 }
 
-// Guards against a job whose progress outgrows a row of the store (review/1): 960 units with checkpoints that
-// were in progress at once did so.
-TEST_CASE("the progress of a large job fits into a row", "[pool]") {
-  constexpr int kWidth = 230;
-  constexpr int kSteps = 3;
-  constexpr int kOccurrences = 4;
-  constexpr int kWorkers = 24;
-  const std::string checkpoint(16, 'c');
+// Guards against a job whose progress outgrows the rows that the store allows for it (review/1): 960 units
+// with checkpoints that were in progress at once did so.
+TEST_CASE("the progress of a large job fits into its rows", "[pool]") {
+  struct load {
+    int width;
+    int steps;
+    int occurrences;
+    int workers;
+    std::size_t worker_id_bytes;
+    std::size_t checkpoint_bytes;
+  };
+  const load large =
+      GENERATE(load{230, 3, 4, 24, 8, 16}, load{230, 3, 20, 24, 8, 240}, load{5000, 2, 1, 120, 150, 240});
+  const std::string checkpoint(large.checkpoint_bytes, 'c');
   pool_state state{pool_settings{}, 1};
   std::map<std::string, std::string> addresses;
-  for (int i = 0; i < kWorkers; ++i) {
+  for (int i = 0; i < large.workers; ++i) {
     worker_registration registration;
     registration.id = "worker-" + std::to_string(i);
+    registration.id.resize(std::max(registration.id.size(), large.worker_id_bytes), 'x');
     registration.address = "127.0.0.1:1";
     registration.service = "s";
     registration.capacity = {1'000'000, 1'000'000, 0};
@@ -326,20 +334,20 @@
   job.submission.service = "s";
   job.submission.max_attempts = 4;
   step_request step;
-  step.task_count = kWidth;
+  step.task_count = large.width;
   step.need = {500, 256, 0};
   step.estimate = milliseconds(9500);
   step.checkpointable = true;
-  job.submission.request.steps.assign(kSteps, step);
+  job.submission.request.steps.assign(static_cast<std::size_t>(large.steps), step);
   // A step that no worker can run takes no room from the others.
   const bool has_unplaceable_step = GENERATE(false, true);
   if (has_unplaceable_step) {
     job.submission.request.steps[0].required_label = "absent";
   }
-  job.submission.request.occurrences = kOccurrences;
+  job.submission.request.occurrences = large.occurrences;
   state.AddJob(job, BootNow());
   state.MakeDueOccurrences(BootNow(), transport::WallNow());
-  const int placeable = kWidth * (kSteps - (has_unplaceable_step ? 1 : 0)) * kOccurrences;
+  const int placeable = large.width * (large.steps - (has_unplaceable_step ? 1 : 0)) * large.occurrences;
   int done = 0;
   int most_running = 0;
   std::map<std::string, std::int64_t> ends;
@@ -366,7 +374,11 @@
     most_running = std::max(most_running, running);
     for (const auto& [id, listed] : lists)
       state.ApplyWorkerLists(id, listed, state.NextCallNumber(), BootNow());
-    REQUIRE(EncodeProgress(state.jobs().at(JobId(1))).size() <= state.settings().max_progress_bytes);
+    const encoded_progress progress = EncodeProgress(state.jobs().at(JobId(1)));
+    REQUIRE(progress.row.size() <= state.settings().max_row_bytes);
+    REQUIRE(progress.size() <= state.settings().MaxProgressBytes());
+    // Checkpoints that are longer than expected are left out.
+    if (large.checkpoint_bytes <= 24) REQUIRE(progress.dropped_checkpoints == 0);
   }
   CHECK(done == placeable);
   // The bound is not much lower than necessary.
--- a/tests/coordination/pool/standin_workers.cpp
+++ b/tests/coordination/pool/standin_workers.cpp
@@ -35,7 +35,7 @@
 asio::awaitable<order_reply> standin_workers::Start(order_address address, std::string task, std::int64_t run,
                                                     std::string payload, std::string checkpoint,
                                                     worker_time deadline, milliseconds timeout) {
-  (void)payload, (void)checkpoint, (void)deadline;
+  (void)payload, (void)deadline;
   if (failing.contains(address.worker)) throw std::runtime_error("malformed reply");
   if (unreachable.contains(address.worker)) {
     co_await transport::Sleep(timeout);
@@ -45,6 +45,7 @@
   if (!Admit(address)) co_return Reply(order_outcome::kFenced);
   if (on_start) on_start(task);
   ++starts;
+  start_checkpoints[task] = checkpoint;
   workers_[address.worker].running[task] = run;
   co_return Reply(order_outcome::kDone);
 }
@@ -88,7 +89,8 @@
   reply.outcome = Admit(address) ? order_outcome::kDone : order_outcome::kFenced;
   reply.lists.incarnation = 1;
   reply.lists.clock = Clock();
-  for (const auto& [task, run] : worker.running) reply.lists.running.push_back({task, run, "", 10});
+  for (const auto& [task, run] : worker.running)
+    reply.lists.running.push_back({task, run, CheckpointOf(task), 10});
   reply.lists.finished = worker.finished;
   co_return reply;
 }
@@ -97,10 +99,17 @@
   worker_model& model = workers_[worker];
   const auto found = model.running.find(task);
   if (found == model.running.end()) return;
-  model.finished.push_back({++model.last_end, task, found->second, kind, ""});
+  model.finished.push_back({++model.last_end, task, found->second, kind, CheckpointOf(task)});
   model.running.erase(found);
 }
 
+void standin_workers::EndAll(end_kind kind) {
+  for (auto& [id, worker] : workers_) {
+    const std::map<std::string, std::int64_t> running = worker.running;
+    for (const auto& [task, run] : running) End(id, task, kind);
+  }
+}
+
 int standin_workers::CountRunsOn(const std::string& worker) const {
   const auto found = workers_.find(worker);
   return found == workers_.end() ? 0 : static_cast<int>(found->second.running.size());
--- a/tests/coordination/pool/standin_workers.h
+++ b/tests/coordination/pool/standin_workers.h
@@ -28,6 +28,8 @@
 
   /// Ends the run of `task` as `kind`.
   void End(const std::string& worker, const std::string& task, state::pool::end_kind kind);
+  /// Ends all runs as `kind`.
+  void EndAll(state::pool::end_kind kind);
   /// Returns the number of workers that run `task`.
   int CountRuns(const std::string& task) const;
   /// Returns the number of runs on `worker`.
@@ -35,6 +37,11 @@
 
   /// Called with the task of each start before the start is executed.
   std::function<void(const std::string&)> on_start;
+  /// Returns the checkpoint that workers report for a run of the given task. Tasks have none if it is not
+  /// set.
+  std::function<std::string(const std::string&)> checkpoint_of;
+  /// Checkpoint of the latest start of each task.
+  std::map<std::string, std::string> start_checkpoints;
   /// Called with the worker of each renewal that grants a lease.
   std::function<void(const std::string&)> on_lease;
   /// Workers that do not reply. Their runs continue.
@@ -58,6 +65,7 @@
 
   // Raises the highest fencing token that the worker has seen. Returns false for a lower token.
   bool Admit(const coordination::pool::order_address& address);
+  std::string CheckpointOf(const std::string& task) const { return checkpoint_of ? checkpoint_of(task) : ""; }
   std::map<std::string, worker_model> workers_;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -216,7 +216,7 @@
     job.submission.request.steps = std::move(steps);
     store_.ApplyNow({{},
                      {{kJobsTable, id, EncodeSubmission(job.submission), JobPartition(id)},
-                      {kProgressTable, id, EncodeProgress(job), JobPartition(id)}}});
+                      {kProgressTable, id, EncodeProgress(job).row, JobPartition(id)}}});
     jobs_[id] = job.submission;
     open_jobs_.insert(id);
   }
--- a/tests/soak/stall_monitor.cpp
+++ b/tests/soak/stall_monitor.cpp
@@ -13,7 +13,7 @@
 std::optional<ready_unit> FindReadyUnit(const job_submission& submission, std::string_view progress) {
   job_entry job;
   job.submission = submission;
-  const bool is_readable = coordination::pool::RestoreProgress(progress, job).ok();
+  const bool is_readable = coordination::pool::RestoreProgress(progress, "", job).ok();
   if (!is_readable || IsFinal(job.phase)) return std::nullopt;
   // The owner creates the occurrence, and stores it with the first start.
   const occurrence_progress occurrence =
