Keep cancelled ids from being submitted late

Cause: the cancellation of a job that the store did not have was answered from a plain read. Nothing stopped a write of the submission that was still on its way: its only condition was that the job did not exist.

Change: the cancellation of an unknown job writes a tombstone, on the condition that the job does not exist, and a submission has the absence of the tombstone as a condition, so exactly one of the two is applied. The tombstone belongs to the workspace of the caller. A submission that meets it gets 409, as not run. The owner removes tombstones after 60 s, also after a change of owner. Each VM writes at most 10 a second and 100 at once; beyond that the cancellation of an unknown job gets 429. A relayed cancellation that one VM answers with 410 is decided, whatever became of other attempts.

--- a/src/coordination/pool/job_api.cpp
+++ b/src/coordination/pool/job_api.cpp
@@ -1,6 +1,7 @@
 #include "coordination/pool/job_api.h"
 
 #include "coordination/pool/pool_tables.h"
+#include "coordination/pool/tombstone.h"
 #include "transport/async_event.h"
 #include "transport/boot_clock.h"
 
@@ -18,6 +19,12 @@
 constexpr milliseconds kReplyTimeout{700};
 // Age at which the counts of waiting jobs are read again. Clients accept counts that are 2 s old.
 constexpr milliseconds kCountAge{1000};
+// Tombstones that this VM writes, per second and at once. Together with their lifetime the limit bounds the
+// rows that cancellations of arbitrary ids take: 100 VMs write at most 70,000 of about 150 bytes.
+constexpr double kTombstoneRate = 10;
+constexpr double kTombstoneBurst = 100;
+// How often a cancellation looks for its job. A submission that is applied meanwhile takes a second look.
+constexpr int kMaxLookups = 3;
 // Time reserved for the response to reach the client before the client's timeout.
 constexpr milliseconds kResponseMargin{200};
 
@@ -38,6 +45,9 @@
 
 }  // namespace
 
+job_api::job_api(pool_store& store, event_log& log, const progress_limits& limits)
+    : store_(store), log_(log), limits_(limits), tombstone_limit_(kTombstoneRate, kTombstoneBurst) {}
+
 boost::asio::awaitable<job_api_result> job_api::Submit(job_submission submission, boot_time deadline) {
   const absl::Status storable = CheckStorable(submission, limits_);
   if (!storable.ok()) co_return Refuse(error_kind::kJobImpossible, std::string(storable.message()));
@@ -52,7 +62,12 @@
     if (left <= milliseconds(0)) co_return RefuseWrite(outcome_unknown);
     store_transaction transaction;
     transaction.conditions = {{kJobsTable, submission.id, 0, partition},
-                              {kProgressTable, submission.id, 0, partition}};
+                              {kProgressTable, submission.id, 0, partition},
+                              {kTombstonesTable, TombstoneKey(submission.id, ""), 0, partition}};
+    if (!submission.workspace.empty()) {
+      transaction.conditions.push_back(
+          {kTombstonesTable, TombstoneKey(submission.id, submission.workspace), 0, partition});
+    }
     transaction.changes = {{kJobsTable, submission.id, text, partition},
                            {kProgressTable, submission.id, progress, partition}};
     const transaction_result result =
@@ -60,13 +75,19 @@
     if (result.outcome == transaction_outcome::kDone) co_return job_api_result{};
     if (result.outcome == transaction_outcome::kConflict) {
       // The job was submitted before, or an earlier attempt of this call was applied and its reply was lost.
+      bool is_known = false;
+      bool is_cancelled = false;
       for (const stored_row& row : result.current) {
+        is_cancelled = is_cancelled || (row.table == kTombstonesTable && row.version != 0);
         if (row.table != kJobsTable || row.version == 0) continue;
+        is_known = true;
         const absl::StatusOr<job_submission> known = DecodeSubmission(submission.id, row.value);
         if (known.ok() && known->workspace != submission.workspace) {
           co_return Refuse(error_kind::kIdempotencyKeyReused, "the id belongs to another job");
         }
       }
+      // No attempt of this call was applied or will be: each has the absence of the tombstone as a condition.
+      if (is_cancelled && !is_known) co_return Refuse(error_kind::kCancelled, "the job was cancelled before");
       co_return job_api_result{};
     }
     if (result.outcome == transaction_outcome::kNotDone) {
@@ -113,29 +134,53 @@
   co_return result;
 }
 
-boost::asio::awaitable<job_api_result> job_api::Cancel(std::string workspace, std::string id,
-                                                       boot_time deadline) {
-  const job_rows rows = co_await ReadJob(id);
-  if (rows.problem) co_return Refuse(*rows.problem, "the state cannot be read");
-  if (!rows.progress || (!workspace.empty() && rows.progress->workspace != workspace)) {
-    co_return Refuse(error_kind::kJobUnknown, "no such job");
-  }
-  if (rows.is_cancelled || IsFinal(rows.progress->phase)) co_return job_api_result{};
+boost::asio::awaitable<std::optional<job_api_result>> job_api::ApplyUntil(store_transaction transaction,
+                                                                          boot_time deadline) {
   bool outcome_unknown = false;
   while (true) {
     const milliseconds left = deadline - BootNow() - kResponseMargin;
     if (left <= milliseconds(0)) co_return RefuseWrite(outcome_unknown);
-    store_transaction transaction;
-    transaction.changes = {{kJobsTable, id + kCancelSuffix, "{}", JobPartition(id)},
-                           {kProgressTable, id + kCancelSuffix, "{}", JobPartition(id)}};
+    store_transaction attempt = transaction;
     const transaction_result result =
-        co_await store_.Apply(std::move(transaction), std::min(kReplyTimeout, left));
+        co_await store_.Apply(std::move(attempt), std::min(kReplyTimeout, left));
     if (result.outcome == transaction_outcome::kDone) co_return job_api_result{};
-    if (result.outcome != transaction_outcome::kUnknown) co_return RefuseWrite(outcome_unknown);
+    if (result.outcome == transaction_outcome::kConflict) co_return std::nullopt;
+    if (result.outcome == transaction_outcome::kNotDone) co_return RefuseWrite(outcome_unknown);
     outcome_unknown = true;
   }
 }
 
+boost::asio::awaitable<job_api_result> job_api::Cancel(std::string workspace, std::string id,
+                                                       boot_time deadline) {
+  const std::string partition = JobPartition(id);
+  for (int lookup = 0; lookup < kMaxLookups; ++lookup) {
+    const job_rows rows = co_await ReadJob(id);
+    if (rows.problem) co_return Refuse(*rows.problem, "the state cannot be read");
+    store_transaction transaction;
+    if (!rows.progress) {
+      if (!tombstone_limit_.TryConsume(std::chrono::steady_clock::now()))
+        co_return Refuse(error_kind::kRateLimited, "too many cancellations of unknown jobs");
+      transaction.conditions = {{kJobsTable, id, 0, partition}, {kProgressTable, id, 0, partition}};
+      transaction.changes = {
+          {kTombstonesTable, TombstoneKey(id, workspace), EncodeTombstone(id, workspace), partition}};
+    } else if (!workspace.empty() && rows.progress->workspace != workspace) {
+      // While the id belongs to that job, no submission of it by this workspace can be applied.
+      co_return Refuse(error_kind::kJobUnknown, "no such job");
+    } else if (rows.is_cancelled || IsFinal(rows.progress->phase)) {
+      co_return job_api_result{};
+    } else {
+      transaction.changes = {{kJobsTable, id + kCancelSuffix, "{}", partition},
+                             {kProgressTable, id + kCancelSuffix, "{}", partition}};
+    }
+    std::optional<job_api_result> result = co_await ApplyUntil(std::move(transaction), deadline);
+    // The submission was applied after it was looked for, so there is a job to cancel.
+    if (!result) continue;
+    if (!result->refusal && !rows.progress) co_return Refuse(error_kind::kJobUnknown, "no such job");
+    co_return *std::move(result);
+  }
+  co_return Refuse(error_kind::kStoreUnavailable, "the rows of the job contradict each other");
+}
+
 boost::asio::awaitable<bool> job_api::RefreshCounts() {
   if (counted_at_ != boot_time{} && BootNow() - counted_at_ < kCountAge) co_return true;
   const boot_time read_at = BootNow();
--- a/src/coordination/pool/job_api.h
+++ b/src/coordination/pool/job_api.h
@@ -12,6 +12,7 @@
 #include "state/error_kind.h"
 #include "state/pool/pool_config.h"
 #include "state/pool/pool_time.h"
+#include "state/routing/token_bucket.h"
 
 namespace hickorystall::coordination::pool {
 
@@ -32,17 +33,18 @@
 class job_api {
  public:
   /// `store` and `log` must outlive the object. `limits` are those of the store.
-  job_api(pool_store& store, event_log& log, const progress_limits& limits = {})
-      : store_(store), log_(log), limits_(limits) {}
+  job_api(pool_store& store, event_log& log, const progress_limits& limits = {});
 
-  /// Stores a job. Submitting the same job again has no effect. Refuses a job that is too large to be stored.
-  /// Returns before `deadline`.
+  /// Stores a job. Submitting the same job again has no effect. Refuses a job that is too large to be stored,
+  /// or whose id was cancelled before. Returns before `deadline`.
   boost::asio::awaitable<job_api_result> Submit(state::pool::job_submission submission,
                                                 state::pool::boot_time deadline);
   /// Reads the phase of a job. A job of another workspace is reported as unknown; an empty `workspace`
   /// matches all jobs.
   boost::asio::awaitable<job_api_result> ReadState(std::string workspace, std::string id);
-  /// Stores the cancellation of a job of `workspace`. Returns before `deadline`.
+  /// Stores the cancellation of a job of `workspace`. A job that is reported as unknown never starts: a
+  /// submission of its id that is still being written, or follows within the lifetime of a tombstone, is
+  /// refused. Returns before `deadline`.
   boost::asio::awaitable<job_api_result> Cancel(std::string workspace, std::string id,
                                                 state::pool::boot_time deadline);
   /// Counts the accepted jobs of `queue` that have not started. The count may be one second old.
@@ -55,11 +57,16 @@
     bool is_cancelled = false;
   };
   boost::asio::awaitable<job_rows> ReadJob(std::string id);
+  // Applies `transaction` until the store replies, at most until `deadline`. Returns nullopt after a
+  // conflict.
+  boost::asio::awaitable<std::optional<job_api_result>> ApplyUntil(store_transaction transaction,
+                                                                   state::pool::boot_time deadline);
   boost::asio::awaitable<bool> RefreshCounts();
 
   pool_store& store_;
   event_log& log_;
   const progress_limits limits_;
+  state::token_bucket tombstone_limit_;
   std::map<std::string, int> waiting_by_queue_;
   state::pool::boot_time counted_at_{};
 };
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -77,6 +77,7 @@
       state_(settings, epoch),
       writer_(*parts_.store, *parts_.log, *parts_.owner, state_, executor),
       silence_(*parts_.store, *parts_.log, *parts_.owner, state_, executor),
+      tombstones_(*parts_.store, *parts_.log, *parts_.owner, executor),
       wake_(executor),
       registry_changed_(executor),
       jobs_feed_(*parts_.store, *parts_.log, {kJobsTable, {kJobPartitions.begin(), kJobPartitions.end()}}),
@@ -114,6 +115,7 @@
   stopped_ = true;
   writer_.Stop();
   silence_.Stop();
+  tombstones_.Stop();
   wake_.Notify();
   registry_changed_.Notify();
 }
@@ -129,6 +131,7 @@
   Spawn(FollowRegistry());
   Spawn(RecordWorkers());
   Spawn(silence_.Run());
+  Spawn(tombstones_.Run());
   writer_.Start([this](asio::awaitable<void> loop) { Spawn(std::move(loop)); });
   Spawn(PlanLoop());
 }
--- a/src/coordination/pool/pool_owner.h
+++ b/src/coordination/pool/pool_owner.h
@@ -18,6 +18,7 @@
 #include "coordination/pool/progress_writer.h"
 #include "coordination/pool/silence_record.h"
 #include "coordination/pool/table_feed.h"
+#include "coordination/pool/tombstone_sweeper.h"
 #include "coordination/pool/worker_orders.h"
 #include "state/pool/pool_state.h"
 #include "state/pool/wait_monitor.h"
@@ -122,6 +123,7 @@
   state::pool::pool_state state_;
   progress_writer writer_;
   silence_record silence_;
+  tombstone_sweeper tombstones_;
   transport::wake_signal wake_;
   transport::wake_signal registry_changed_;
   table_feed jobs_feed_;
--- a/src/coordination/pool/pool_tables.h
+++ b/src/coordination/pool/pool_tables.h
@@ -34,6 +34,9 @@
 inline std::string ProgressRowKey(std::string_view id, std::size_t number) {
   return std::string(id) + "." + std::to_string(number);
 }
+/// Tombstones of ids that were cancelled without being known, by `TombstoneKey`. Written by the VMs that
+/// serve clients; removed by the owner.
+inline constexpr char kTombstonesTable[] = "tombstones";
 /// Epoch and lease of the pool's owner.
 inline constexpr char kOwnershipTable[] = "ownership";
 /// Row that changes with each new owner. Every write of an owner is conditional on it.
--- /dev/null
+++ b/tests/platform/client_http_api_test.cpp
@@ -0,0 +1,110 @@
+#include "client_http_api.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/pool/memory_store.h"
+#include "coordination/pool/pool_tables.h"
+#include "protocol/error_response.h"
+#include "transport/async_event.h"
+#include "transport/boot_clock.h"
+#include "transport/http_server.h"
+
+namespace hickorystall::tests {
+
+namespace asio = boost::asio;
+using namespace coordination::pool;  // NOLINT(google-build-using-namespace)
+using namespace state::pool;         // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+namespace {
+
+absl::StatusOr<pool_config> MakeConfig(std::string_view) {
+  pool_config config;
+  config.version = 1;
+  queue_rules queue;
+  queue.name = "q";
+  queue.host = "host";
+  queue.prefix = "/q/";
+  queue.service = "s";
+  config.queues.push_back(queue);
+  config.workspaces.push_back({"w", {"key"}, 0});
+  return config;
+}
+
+// A VM that responds to every relayed call with `status`, or too late with status 0.
+std::unique_ptr<transport::http_server> MakePeer(transport::event_loop_pool& event_loops, int status) {
+  auto server = std::make_unique<transport::http_server>(
+      event_loops, transport::http_server_settings{},
+      [status](transport::http_request) -> asio::awaitable<transport::http_response> {
+        if (status == 0) co_await transport::Sleep(std::chrono::seconds(2));
+        co_return transport::JsonResponse(status == 0 ? 200 : status, "{}");
+      },
+      protocol::MakeReadFailureResponse);
+  REQUIRE(server->Start().ok());
+  return server;
+}
+
+// Returns the status with which a VM without a store answers a call, of which the first of two other VMs
+// leaves the outcome open and the second responds with `second_status`.
+int StatusOf(const std::string& method, int second_status) {
+  transport::event_loop_pool event_loops(1);
+  const auto silent = MakePeer(event_loops, 0);
+  const auto second = MakePeer(event_loops, second_status);
+  memory_store store;
+  memory_store job_store;
+  job_store.is_down = true;
+  store.ApplyNow({{}, {{"config", "config", "{}"}}});
+  store.ApplyNow({{},
+                  {{kVmsTable, "vm-1", "127.0.0.1:" + std::to_string(silent->port())},
+                   {kVmsTable, "vm-2", "127.0.0.1:" + std::to_string(second->port())}}});
+  static event_log log("client-api-test");
+  transport::http_client client(event_loops, {});
+  // The length of this VM's name selects the peer that is tried first.
+  peer_directory peers(store, log, {"xx", "127.0.0.1:1", 1.0});
+  call_relay relay(client, peers);
+  config_follower config(store, log, {"config", "config", MakeConfig});
+  job_api jobs(job_store, log);
+  transport::smoothed_wall_clock wall_clock;
+  wall_clock.Sample(transport::BootNow(), transport::WallNow());
+  platform::client_http_api api(jobs, config, relay, log, wall_clock, milliseconds(3000));
+  std::promise<int> status;
+  asio::co_spawn(
+      event_loops.context(0),
+      [&]() -> asio::awaitable<void> {
+        asio::co_spawn(event_loops.context(0), peers.Run(), asio::detached);
+        asio::co_spawn(event_loops.context(0), config.Run(), asio::detached);
+        co_await transport::Sleep(milliseconds(100));
+        transport::http_request request;
+        request.method = method;
+        request.target = "/q/00000000000000aa";
+        request.headers = {{"Host", "host"}, {"X-Hickorystall-Credential", "key"}};
+        request.body = R"({"spec":"s","steps":[{"count":1}]})";
+        const transport::http_response response = co_await api.Handle(std::move(request));
+        peers.Stop();
+        config.Stop();
+        status.set_value(response.status);
+      },
+      asio::detached);
+  event_loops.Start();
+  const int result = status.get_future().get();
+  event_loops.Stop();
+  return result;
+}
+
+}  // namespace
+
+// Guards against a cancellation whose client is left in doubt although another VM has made sure that the job
+// never starts.
+TEST_CASE("a relayed cancellation of an unknown job is decided", "[platform]") {
+  CHECK(StatusOf("DELETE", 410) == 410);
+  CHECK(StatusOf("DELETE", 200) == 200);
+  CHECK(StatusOf("DELETE", 429) == 504);
+}
+
+}  // namespace hickorystall::tests
