--- a/tests/node_soak/checker.py
+++ b/tests/node_soak/checker.py
@@ -11,6 +11,7 @@
 # Records of the pass that ends a wait already name the new start.
 END_SLACK_S = 0.3
 LEASE_CAUSES = {"unresolved_worker", "former_owner", "worker_unreachable", "stop_unconfirmed", "unaccounted_run"}
+CANCEL_S = 3.0  # `cancel_ms`
 MAX_ATTEMPTS = {"/exam/": 4, "/notice/": 3, "/batch/": 4}
 
 
@@ -180,6 +181,22 @@
     return findings
 
 
+def find_starts_of_cancelled_jobs(system, last_fault_s):
+    """Returns texts for starts of a job that the system had answered not to know, and for starts later than
+    `cancel_ms` after an answered cancellation and the last fault."""
+    findings = []
+    for executor in system.executors:
+        for task, run, began, _, _ in executor.history:
+            job = system.workload.jobs[task.split(".")[0]]
+            if job.cancelled_s is None:
+                continue
+            limit = job.cancelled_s if job.cancel_status == 410 else max(job.cancelled_s, last_fault_s) + CANCEL_S
+            if began > limit:
+                findings.append("UNASKED: task %s run %d started on %s at %.3f; the cancellation was answered with %d "
+                                "at %.3f" % (task, run, executor.name, began, job.cancel_status, job.cancelled_s))
+    return findings
+
+
 def failed_ends(system, job):
     """Returns the largest number of failed runs of one task of `job`, a gang counted as one task."""
     counts = {}
--- a/tests/node_soak/fault_schedule.py
+++ b/tests/node_soak/fault_schedule.py
@@ -64,6 +64,14 @@
             await node.end()
             await self._restart(node)
 
+    async def kill_all_nodes(self):
+        """Kills all nodes that no other fault has chosen, for longer than the longest lease."""
+        nodes = [node for node in self.system.nodes if node.name not in self.busy_nodes]
+        self.busy_nodes.update(node.name for node in nodes)
+        await asyncio.gather(*[node.end() for node in nodes])
+        await asyncio.sleep(self.rng.uniform(7.0, 9.5))
+        await asyncio.gather(*[self._restart(node) for node in nodes])
+
     async def stop_node(self):
         node = self._choose_node()
         if node is None:
@@ -109,6 +117,9 @@
     async def store_slow(self):
         await self._store_fault("slow", self.rng.uniform(2.0, 5.0))
 
+    async def store_late(self):
+        await self._store_fault("late", self.rng.uniform(2.0, 4.5), self._some_nodes())
+
     async def store_lossy(self):
         await self._store_fault("lossy", self.rng.uniform(1.0, 4.0), self._some_nodes())
 
@@ -298,5 +309,6 @@
         "replace_executors": 2, "drain_executors": 1, "remove_executors": 2, "refuse_starts": 2,
         "delay_starts": 2,
         # Only with --faults: other weights would change the plans of the seeds of earlier findings.
-        "mute_restart_executors": 0, "late_start_restart_executors": 0,
+        "mute_restart_executors": 0, "late_start_restart_executors": 0, "store_late": 0,
+        "kill_all_nodes": 0,
     }
--- a/tests/node_soak/soak.py
+++ b/tests/node_soak/soak.py
@@ -24,7 +24,8 @@
 import standins  # noqa: E402
 from fault_schedule import FaultSchedule  # noqa: E402
 from store_faults import FaultyStore  # noqa: E402
-from workload import SoakExecutor, Workload, make_hot_rack_jobs, make_jobs, make_late_jobs  # noqa: E402
+from workload import (SoakExecutor, Workload, add_cancellations, add_checkpoints, make_hot_rack_jobs,  # noqa: E402
+                      make_jobs, make_late_jobs)
 
 CALM_S = 14.0
 # Time for which jobs that are unfinished after the calm time are watched further: `finish_s` after the end of
@@ -104,7 +105,9 @@
         return lease.get("vm") if lease else None
 
     def accepted_jobs(self):
-        return [job for job in self.workload.jobs.values() if job.accepted_s is not None]
+        """Returns the accepted jobs that must be completed."""
+        return [job for job in self.workload.jobs.values()
+                if job.accepted_s is not None and job.cancel_after_s is None]
 
     async def submit_job(self, job):
         self.workload.jobs[job.id] = job
@@ -116,6 +119,21 @@
             self.record("consumer", "POST %s%s at %s -> %s" % (job.prefix, job.id, node.name, status or "no answer"))
             if 200 <= status < 300:
                 job.accepted_s = self.record.seconds()
+                if job.cancel_after_s is not None:
+                    await asyncio.sleep(job.cancel_after_s)
+                    await self.cancel_job(job)
+                return
+            if job.cancel_after_s is not None:
+                return await self.cancel_job(job)
+            await asyncio.sleep(0.6)
+
+    async def cancel_job(self, job):
+        for _ in range(20):
+            node = self.rng.choice(self.nodes)
+            status, _ = await standins.call(node.front, "DELETE", job.prefix + job.id, None, self.headers_of(job), 3.0)
+            self.record("consumer", "DELETE %s at %s -> %s" % (job.id, node.name, status or "no answer"))
+            if 200 <= status < 300 or status == 410:
+                job.cancelled_s, job.cancel_status = self.record.seconds(), status
                 return
             await asyncio.sleep(0.6)
 
@@ -213,6 +231,10 @@
         await system.start_all(executors, nodes)
         rack_names = sorted({e.rack for e in system.executors})
         share, jobs = make_jobs(rng, options.traffic_s, executors * 8, rack_names)
+        if options.checkpoints:
+            add_checkpoints(random.Random(seed), jobs)
+        if options.cancellations:
+            add_cancellations(random.Random(seed), jobs)
         late_jobs = make_late_jobs(rng, rack_names)
         if options.hot_rack:
             late_jobs = make_hot_rack_jobs(rng, rack_names[-1], 64)
@@ -240,6 +262,7 @@
         standing = checker.find_standing_jobs(system, monitor, faults.last_end_s + checker.CALM_AFTER_S,
                                               begin_s + options.traffic_s + FINISH_S)
         grave = [text for is_grave, text in standing if is_grave]
+        grave += checker.find_starts_of_cancelled_jobs(system, faults.last_end_s)
         grave += checker.find_double_runs(system) + checker.find_unfinished_jobs(system, states, ended_s)
         grave += conditions.find_unused(faults.last_end_s + checker.CALM_AFTER_S)
         waits = [text for is_grave, text in standing if not is_grave]
@@ -313,6 +336,9 @@
     parser.add_argument("--short", action="store_true", help="48 executors and 8 s of traffic")
     parser.add_argument("--hot-rack", action="store_true",
                         help="after the last fault only jobs arrive that have their data in one rack, more than fit")
+    parser.add_argument("--checkpoints", action="store_true", help="half of the jobs have checkpoints of up to 70,000 "
+                        "characters")
+    parser.add_argument("--cancellations", action="store_true", help="a third of the jobs are cancelled")
     options = parser.parse_args()
     options.traffic_s = 8.0 if options.short else 20.0
     SoakNode.program = os.path.abspath(options.program)
@@ -324,6 +350,8 @@
     arguments += ["--keep"] if options.keep else []
     arguments += ["--short"] if options.short else []
     arguments += ["--hot-rack"] if options.hot_rack else []
+    arguments += ["--checkpoints"] if options.checkpoints else []
+    arguments += ["--cancellations"] if options.cancellations else []
     arguments += ["--faults"] + options.faults if options.faults else []
     sys.exit(run_many(options, range(int(first), int(last or first) + 1), arguments))
 
--- a/tests/node_soak/store_faults.py
+++ b/tests/node_soak/store_faults.py
@@ -11,7 +11,7 @@
 
     Kinds of faults: `silent` (no reply), `refusing` (503), `read_only` (503 for transactions), `slow` (200 to
     400 ms a reply, one transaction at a time in each partition), `lossy` (some replies are lost, some transactions
-    are applied late).
+    are applied late), `late` (most transactions have no reply and are applied 2 to 6 s later).
     """
 
     def __init__(self, record, rng):
@@ -57,6 +57,11 @@
                     self.rng.uniform(0.3, 2.5),
                     lambda: asyncio.ensure_future(self.handle(method, target, headers, body)))
             raise NoAnswer
+        if is_write and self._has("late", node) and self.rng.random() < 0.8:
+            asyncio.get_running_loop().call_later(
+                self.rng.uniform(2.0, 6.0),
+                lambda: asyncio.ensure_future(self.handle(method, target, headers, body)))
+            await self._hang()
         if self._has("slow", node):
             answer = await self._handle_slowly(is_write, method, target, headers, body)
         else:
--- a/tests/node_soak/workload.py
+++ b/tests/node_soak/workload.py
@@ -6,6 +6,7 @@
 
 FAR_FACTOR = 3
 GANG_WAIT_S = 3.0
+CHECKPOINT_S = 1.0
 LAPSE_S = 4.5  # Three check-in intervals of 1.5 s.
 
 
@@ -16,6 +17,9 @@
         self.work_s = work_s  # Seconds of a work item on a near executor, by step.
         self.fail_share = fail_share
         self.accepted_s = None
+        self.checkpoint_chars = 0
+        self.cancel_after_s = None  # Time from the acceptance to the cancellation; None if it is not cancelled.
+        self.cancelled_s = self.cancel_status = None
 
     def tasks_of(self, step):
         return ["%s.0.%d.%d" % (self.id, step, index) for index in range(self.steps[step]["count"])]
@@ -74,6 +78,23 @@
                rng.uniform(0.1, 0.3) if rng.random() < 0.2 else 0.0)
 
 
+def add_checkpoints(rng, jobs):
+    """Gives the tasks of half of the jobs checkpoints, of which those of larger jobs together exceed a row."""
+    for job in jobs:
+        if rng.random() < 0.5:
+            is_single = sum(step["count"] for step in job.steps) == 1
+            job.checkpoint_chars = rng.choice([240, 4000, 70000] if is_single else [240, 1000, 4000])
+            for step in job.steps:
+                step["checkpointable"] = True
+
+
+def add_cancellations(rng, jobs):
+    """Chooses a third of the jobs, whose consumers cancel them, or give up and cancel after the first failure."""
+    for job in jobs:
+        if rng.random() < 0.33:
+            job.cancel_after_s = rng.uniform(0.0, 2.0)
+
+
 class Gang:
     """The members of one run of a gang, on all executors."""
 
@@ -104,6 +125,9 @@
         run.gpu = step["gpu"]
         run.arrived = run.began
         run.gang = None
+        if job.checkpoint_chars:
+            run.saved = lambda now, _: ("%08d" % (now - run.began) * (job.checkpoint_chars // 8)
+                                        if now - run.began >= CHECKPOINT_S else "")
         run.outcome = "failed" if self.rng.random() < job.fail_share else "done"
         run.work_s = job.work_s[number] * (
             FAR_FACTOR if step.get("dataRack", executor.rack) != executor.rack else 1)
@@ -185,6 +209,11 @@
         super()._close(run, how)
         self.workload.on_end(run, how)
 
+    def _end(self, run, how):
+        super()._end(run, how)
+        if how != "done":
+            self.ends[-1][4] = run.saved(time.monotonic(), self.checkpoint_s)
+
     def free_gpus(self):
         return self.capacity["gpu"] - sum(run.gpu for run in self.running.values())
 
