--- a/tests/coordination/pool/call_relay_test.cpp
+++ b/tests/coordination/pool/call_relay_test.cpp
@@ -6,10 +6,9 @@
 
 #include "coordination/pool/memory_store.h"
 #include "coordination/pool/pool_tables.h"
-#include "protocol/error_response.h"
+#include "coordination/pool/relay_peer.h"
 #include "transport/async_event.h"
 #include "transport/boot_clock.h"
-#include "transport/http_server.h"
 
 namespace hickorystall::tests {
 
@@ -19,27 +18,13 @@
 
 namespace {
 
-// A VM that responds to every relayed call with `status`. With status 0 it responds after 2 s, which is later
-// than the relay waits.
-std::unique_ptr<transport::http_server> MakePeer(transport::event_loop_pool& event_loops, int status) {
-  auto server = std::make_unique<transport::http_server>(
-      event_loops, transport::http_server_settings{},
-      [status](transport::http_request) -> asio::awaitable<transport::http_response> {
-        if (status == 0) co_await transport::Sleep(std::chrono::seconds(2));
-        co_return transport::JsonResponse(status == 0 ? 200 : status, "{}");
-      },
-      protocol::MakeReadFailureResponse);
-  REQUIRE(server->Start().ok());
-  return server;
-}
-
 relay_outcome RelayTo(const std::vector<int>& statuses) {
   transport::event_loop_pool event_loops(1);
   std::vector<std::unique_ptr<transport::http_server>> servers;
   memory_store store;
   store_transaction rows;
   for (const int status : statuses) {
-    servers.push_back(MakePeer(event_loops, status));
+    servers.push_back(MakeRelayPeer(event_loops, status));
     rows.changes.push_back({kVmsTable, "vm-" + std::to_string(servers.size()),
                             "127.0.0.1:" + std::to_string(servers.back()->port())});
   }
--- a/tests/coordination/pool/owner_vm.cpp
+++ b/tests/coordination/pool/owner_vm.cpp
@@ -60,6 +60,21 @@
 
 }  // namespace
 
+ownership_settings TestOwnership() {
+  ownership_settings settings;
+  settings.renewal = std::chrono::milliseconds(20);
+  settings.takeover_timeout = std::chrono::milliseconds(80);
+  settings.authority = std::chrono::milliseconds(200);
+  settings.margin = std::chrono::milliseconds(20);
+  return settings;
+}
+
+pool_settings TestPool() {
+  pool_settings settings;
+  settings.headroom = 0;
+  return settings;
+}
+
 void SubmitTask(memory_store& store, const std::string& id) {
   job_entry job;
   job.submission.id = id;
--- a/tests/coordination/pool/owner_vm.h
+++ b/tests/coordination/pool/owner_vm.h
@@ -18,6 +18,10 @@
 /// Value of a registration whose decoder throws.
 inline constexpr char kUndecodable[] = "undecodable";
 
+/// Returns settings with which the ownership changes within a tenth of a second.
+coordination::pool::ownership_settings TestOwnership();
+/// Returns settings with which tests may use all accelerators.
+state::pool::pool_settings TestPool();
 /// Submits a job with the given id and one task that uses all accelerators of a worker.
 void SubmitTask(memory_store& store, const std::string& id);
 /// Waits until `holds` returns true, at most `limit`. Returns whether it does.
--- a/tests/coordination/pool/pool_owner_test.cpp
+++ b/tests/coordination/pool/pool_owner_test.cpp
@@ -27,21 +27,6 @@
 constexpr char kFirstJob[] = "00000000000000aa";
 constexpr char kSecondJob[] = "00000000000000bb";
 
-ownership_settings TestOwnership() {
-  ownership_settings settings;
-  settings.renewal = milliseconds(20);
-  settings.takeover_timeout = milliseconds(80);
-  settings.authority = milliseconds(200);
-  settings.margin = milliseconds(20);
-  return settings;
-}
-
-pool_settings TestPool() {
-  pool_settings settings;
-  settings.headroom = 0;
-  return settings;
-}
-
 // A store with a configuration and `worker_count` registered workers, and the loop in which the test runs.
 struct owner_fixture {
   explicit owner_fixture(int worker_count) {
--- a/tests/coordination/pool/progress_size_test.cpp
+++ b/tests/coordination/pool/progress_size_test.cpp
@@ -36,21 +36,6 @@
 constexpr std::size_t kCallBytes = 700'000;
 constexpr milliseconds kTakeoverWait{10'000};
 
-ownership_settings TestOwnership() {
-  ownership_settings settings;
-  settings.renewal = milliseconds(20);
-  settings.takeover_timeout = milliseconds(80);
-  settings.authority = milliseconds(200);
-  settings.margin = milliseconds(20);
-  return settings;
-}
-
-pool_settings TestPool() {
-  pool_settings settings;
-  settings.headroom = 0;
-  return settings;
-}
-
 job_submission MakeSubmission(const std::string& id, int tasks) {
   job_submission submission;
   submission.id = id;
--- a/tests/platform/client_http_api_test.cpp
+++ b/tests/platform/client_http_api_test.cpp
@@ -10,10 +10,9 @@
 
 #include "coordination/pool/memory_store.h"
 #include "coordination/pool/pool_tables.h"
-#include "protocol/error_response.h"
+#include "coordination/pool/relay_peer.h"
 #include "transport/async_event.h"
 #include "transport/boot_clock.h"
-#include "transport/http_server.h"
 
 namespace hickorystall::tests {
 
@@ -37,25 +36,12 @@
   return config;
 }
 
-// A VM that responds to every relayed call with `status`, or too late with status 0.
-std::unique_ptr<transport::http_server> MakePeer(transport::event_loop_pool& event_loops, int status) {
-  auto server = std::make_unique<transport::http_server>(
-      event_loops, transport::http_server_settings{},
-      [status](transport::http_request) -> asio::awaitable<transport::http_response> {
-        if (status == 0) co_await transport::Sleep(std::chrono::seconds(2));
-        co_return transport::JsonResponse(status == 0 ? 200 : status, "{}");
-      },
-      protocol::MakeReadFailureResponse);
-  REQUIRE(server->Start().ok());
-  return server;
-}
-
 // Returns the status with which a VM without a store answers a call, of which the first of two other VMs
 // leaves the outcome open and the second responds with `second_status`.
 int StatusOf(const std::string& method, int second_status) {
   transport::event_loop_pool event_loops(1);
-  const auto silent = MakePeer(event_loops, 0);
-  const auto second = MakePeer(event_loops, second_status);
+  const auto silent = MakeRelayPeer(event_loops, 0);
+  const auto second = MakeRelayPeer(event_loops, second_status);
   memory_store store;
   memory_store job_store;
   job_store.is_down = true;
