Parse each stored progress once when the pool is loaded

A takeover parsed each row of the progress table three times: to look for continuations, to count them, and to restore it.

Change: a row with continuations is told by its fields without parsing it. The planner's budget and the writer's search for due changes are split into functions, and a job whose progress is not stored is named `is_unstored`. No decision changes.

--- a/src/coordination/pool/partition_writer.cpp
+++ b/src/coordination/pool/partition_writer.cpp
@@ -120,20 +120,25 @@
 }
 
 // The oldest changes go first, so that no job waits longer than it takes to write those before it.
-store_transaction partition_writer::BeginWrite() {
-  store_transaction transaction;
-  transaction.conditions.push_back({kOwnershipTable, kEpochKey, owner_.epoch_version(), partition_});
-  const state::pool::boot_time now = BootNow();
+std::vector<partition_writer::change_map::iterator> partition_writer::FindDueChanges(
+    state::pool::boot_time now) {
   std::vector<change_map::iterator> due;
   for (auto entry = changed_.begin(); entry != changed_.end(); ++entry) {
     if (entry->second.retry_at <= now) due.push_back(entry);
   }
   std::sort(due.begin(), due.end(),
             [](const auto& left, const auto& right) { return left->second.number < right->second.number; });
+  return due;
+}
+
+store_transaction partition_writer::BeginWrite() {
+  store_transaction transaction;
+  transaction.conditions.push_back({kOwnershipTable, kEpochKey, owner_.epoch_version(), partition_});
+  const state::pool::boot_time now = BootNow();
   std::size_t max_jobs = kJobsPerWrite;
   std::size_t bytes = 0;
   std::size_t entries = 0;
-  for (const auto& entry : due) {
+  for (const change_map::iterator& entry : FindDueChanges(now)) {
     max_jobs = std::min(max_jobs, entry->second.max_jobs);
     if (in_progress_.size() >= max_jobs) break;
     const auto job = state_.jobs().find(entry->first);
@@ -235,7 +240,7 @@
       if (job != state_.jobs().end()) {
         job->second.row_version = result.version;
         job->second.extra_rows = change.extra_rows;
-        job->second.is_unstorable = false;
+        job->second.is_unstored = false;
       }
       if (change.refusals > 0) log_.Write("writer", "progress stored again", {{"id", id}});
     }
@@ -320,7 +325,7 @@
     const auto job = state_.jobs().find(id);
     std::size_t bytes = 0;
     if (job != state_.jobs().end()) {
-      job->second.is_unstorable = true;
+      job->second.is_unstored = true;
       bytes = EncodeProgress(job->second, MakeProgressLimits(state_.settings())).size();
     }
     log_.Write("writer", "progress refused",
--- a/src/coordination/pool/partition_writer.h
+++ b/src/coordination/pool/partition_writer.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "coordination/pool/event_log.h"
 #include "coordination/pool/ownership.h"
@@ -66,6 +67,8 @@
   using change_map = std::map<std::string, unstored_change>;
 
   bool HasDueWork(state::pool::boot_time now) const;
+  // Returns the changes that may be written at `now`, the oldest first.
+  std::vector<change_map::iterator> FindDueChanges(state::pool::boot_time now);
   // Moves the oldest changes from `changed_` to `in_progress_`, and returns the transaction that writes them.
   store_transaction BeginWrite();
   // Adds the rows of `job` to `transaction`, and notes in `change` what it writes.
--- a/src/coordination/pool/pool_codec.cpp
+++ b/src/coordination/pool/pool_codec.cpp
@@ -296,13 +296,18 @@
     progress.workspace = row.at("workspace");
     progress.phase = *phase;
     progress.is_scheduled = row.value("scheduled", false);
-    progress.extra_rows = row.value("rows", std::size_t{0});
     return progress;
   } catch (const json::exception& error) {
     return absl::DataLossError(error.what());
   }
 }
 
+bool IsContinued(std::string_view text) {
+  // The occurrences of such a row are in its continuations. Rows of cancellations have neither field.
+  return text.find("\"rows\":") != std::string_view::npos &&
+         text.find("\"occurrences\":") == std::string_view::npos;
+}
+
 absl::Status RestoreProgress(std::string_view text, std::string_view continuation, job_entry& job) {
   try {
     const json row = json::parse(text);
--- a/src/coordination/pool/pool_codec.h
+++ b/src/coordination/pool/pool_codec.h
@@ -19,8 +19,6 @@
   state::pool::job_phase phase = state::pool::job_phase::kQueued;
   /// True for a job with occurrences at scheduled times.
   bool is_scheduled = false;
-  /// Number of rows that continue this one.
-  std::size_t extra_rows = 0;
 };
 
 /// Sizes that the encoded progress of a job must not exceed, in bytes.
@@ -61,6 +59,8 @@
 encoded_progress EncodeProgress(const state::pool::job_entry& job, const progress_limits& limits = {});
 /// Decodes a row of the progress table, except for its occurrences.
 absl::StatusOr<stored_progress> DecodeProgress(std::string_view text);
+/// Returns whether a row of the progress table is continued in other rows. Does not parse it.
+bool IsContinued(std::string_view text);
 /// Restores the phase and the occurrences of `job` from a row of the progress table and the concatenation of
 /// its continuations.
 absl::Status RestoreProgress(std::string_view text, std::string_view continuation,
--- a/src/coordination/pool/pool_owner.cpp
+++ b/src/coordination/pool/pool_owner.cpp
@@ -47,25 +47,14 @@
 constexpr milliseconds kWaitReportInterval{1000};
 constexpr std::size_t kMaxWaitRecords = 5;
 
-// Returns whether a row of the progress table is continued in other rows.
-bool HasContinuations(const rows_result& progress) {
-  return std::any_of(progress.rows.begin(), progress.rows.end(), [](const stored_row& row) {
-    const absl::StatusOr<stored_progress> decoded = DecodeProgress(row.value);
-    return decoded.ok() && decoded->extra_rows > 0;
-  });
-}
-
-// Returns the continuations of the progress `text` of job `id`, as far as they exist.
-std::string JoinContinuations(const std::string& id, std::string_view text,
-                              const std::map<std::string, const stored_row*>& rows) {
+// Returns the continuations of the progress of job `id`, in order.
+std::string JoinContinuations(const std::string& id, const std::map<std::string, const stored_row*>& rows) {
   std::string joined;
-  const absl::StatusOr<stored_progress> progress = DecodeProgress(text);
-  const std::size_t count = progress.ok() ? progress->extra_rows : 0;
-  for (std::size_t i = 0; i < count; ++i) {
+  for (std::size_t i = 0;; ++i) {
     const auto row = rows.find(ProgressRowKey(id, i));
-    if (row != rows.end()) joined += row->second->value;
+    if (row == rows.end()) return joined;
+    joined += row->second->value;
   }
-  return joined;
 }
 
 }  // namespace
@@ -164,7 +153,8 @@
         co_await parts_.store->ReadRange(kJobsTable, std::string(partition), "", "", kReplyTimeout);
     if (!jobs.status.ok()) co_return false;
     rows_result continuations;
-    if (HasContinuations(progress)) {
+    if (std::any_of(progress.rows.begin(), progress.rows.end(),
+                    [](const stored_row& row) { return IsContinued(row.value); })) {
       continuations =
           co_await parts_.store->ReadRange(kProgressRowsTable, std::string(partition), "", "", kReplyTimeout);
       if (!continuations.status.ok()) co_return false;
@@ -201,7 +191,7 @@
       job.accepted_at = now - std::max(milliseconds(0), wall_now - job.submission.accepted_at);
       if (stored != progress_rows.end()) {
         const std::string& text = stored->second->value;
-        status = RestoreProgress(text, JoinContinuations(row.key, text, continuation_rows), job);
+        status = RestoreProgress(text, JoinContinuations(row.key, continuation_rows), job);
       }
     }
     if (!status.ok()) {
--- a/src/state/pool/job_entry.h
+++ b/src/state/pool/job_entry.h
@@ -156,7 +156,7 @@
   /// Upper bound of the number of stored rows that continue that row.
   std::size_t extra_rows = 0;
   /// True while the store does not take the progress, until its next write is confirmed. No unit starts then.
-  bool is_unstorable = false;
+  bool is_unstored = false;
   /// When a task of the job last ran on a reachable worker, as seen by the latest planning pass. Zero if none
   /// has run under this owner.
   boot_time last_run_at{};
--- a/src/state/pool/pool_state.cpp
+++ b/src/state/pool/pool_state.cpp
@@ -102,7 +102,7 @@
 void pool_state::HoldUntilStored(const std::string& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
-  found->second.is_unstorable = true;
+  found->second.is_unstored = true;
   // The write that ends the hold.
   MarkChanged(found->second, false);
 }
--- a/src/state/pool/unit_queue.cpp
+++ b/src/state/pool/unit_queue.cpp
@@ -187,23 +187,14 @@
     const std::size_t fixed = kJobBytes + EscapedSize(job.submission.queue) +
                               EscapedSize(job.submission.workspace) +
                               kFinishedOccurrenceBytes * job.finished_occurrences.size();
-    // With and without what is reserved for checkpoints and for the workers of idle units.
     std::size_t reserved = fixed;
     std::size_t stored = fixed;
     for (const auto& [number, occurrence] : job.occurrences) {
       if (job.finished_occurrences.contains(number) || !HasBegun(occurrence)) continue;
+      for (std::size_t step = 0; step < occurrence.steps.size(); ++step)
+        AddBegunUnits(occurrence.steps[step], job.submission.request.steps[step], reserved, stored);
       reserved += PlainSize(occurrence);
       stored += PlainSize(occurrence);
-      for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-        const bool checkpointable = job.submission.request.steps[step].checkpointable;
-        for (const work_unit& unit : occurrence.steps[step].units) {
-          if (unit.last_run == 0 || unit.done) continue;
-          const bool is_idle = unit.IsIdle() && unit.unresolved_workers.empty();
-          is_active_ = is_active_ || !is_idle;
-          reserved += BegunSize(unit) + CheckpointSize(checkpointable);
-          stored += is_idle ? BegunSize(unit) - WorkersSize(unit) : BegunSize(unit);
-        }
-      }
     }
     const std::size_t limit = state.settings().MaxProgressBytes();
     const auto limit_for_starts = static_cast<std::size_t>(static_cast<double>(limit) * kShareForStarts);
@@ -260,6 +251,19 @@
     return size;
   }
 
+  // Adds what the units in progress of a step take. `reserved` includes an allowance for checkpoints and, for
+  // idle units, for the workers of the next run.
+  void AddBegunUnits(const step_progress& step, const step_request& request, std::size_t& reserved,
+                     std::size_t& stored) {
+    for (const work_unit& unit : step.units) {
+      if (unit.last_run == 0 || unit.done) continue;
+      const bool is_idle = unit.IsIdle() && unit.unresolved_workers.empty();
+      is_active_ = is_active_ || !is_idle;
+      reserved += BegunSize(unit) + CheckpointSize(request.checkpointable);
+      stored += is_idle ? BegunSize(unit) - WorkersSize(unit) : BegunSize(unit);
+    }
+  }
+
   // Returns what `unit` takes once it has begun, without its checkpoint.
   std::size_t BegunSize(const work_unit& unit) const {
     const std::size_t failures =
@@ -298,7 +302,7 @@
   const std::set<unit_position> units_with_unaccounted_runs = UnitsWithUnaccountedRuns(state);
   const std::size_t longest_worker_id = LongestWorkerId(state);
   for (const auto& [id, job] : state.open_jobs()) {
-    if (IsFinal(job->phase) || job->is_unstorable) continue;
+    if (IsFinal(job->phase) || job->is_unstored) continue;
     const int priority = QueuePriority(state, *job);
     std::vector<waiting_step> steps;
     for (const auto& [number, occurrence] : job->occurrences) {
--- a/src/state/pool/wait_monitor.cpp
+++ b/src/state/pool/wait_monitor.cpp
@@ -33,7 +33,7 @@
 
 unit_wait WaitOfIdleUnit(const job_entry& job, const unit_position& position, const work_unit& unit,
                          const std::vector<unplaced_step>* unplaced, boot_time now) {
-  if (job.is_unstorable) return {wait_cause::kProgressNotStored, ""};
+  if (job.is_unstored) return {wait_cause::kProgressNotStored, ""};
   if (!unit.unresolved_workers.empty())
     return {wait_cause::kUnresolvedWorker, *unit.unresolved_workers.begin()};
   if (now < unit.repeatable_until) return {wait_cause::kFormerOwner, ""};
