--- a/tests/coordination/pool/progress_size_test.cpp
+++ b/tests/coordination/pool/progress_size_test.cpp
@@ -293,7 +293,7 @@
   CHECK(EncodeProgress(small).row.find("occurrences") != std::string::npos);
 }
 
-// Guards against an accepted job that can never be stored: its client was told to come back.
+// Guards against a job that can never be stored but is refused as if a later attempt could succeed.
 TEST_CASE("a job that is too large to be stored is refused", "[pool]") {
   const progress_limits limits;
   job_submission submission = MakeSubmission(kLargeJob, 1);
