Add a review case: long checkpoints put one executor after the other out of use

After one burst an executor's answer to /v1/hold exceeds the node's limit of 16 MiB. The node takes the executor as unreachable for good, and the work moves on to the next one, with the same result.

--- a/review/standins-3/standins3.py
+++ b/review/standins-3/standins3.py
@@ -228,6 +228,7 @@
     def __init__(self, task, run, now, step):
         self.task, self.run, self.begin, self.step = task, run, now, step
         self.stop_at = None
+        self.resumed_ms = 0  # work that the checkpoint of the start stands for
 
 
 class Executor:
@@ -323,7 +324,7 @@
             return
         del self.runs[run.task]
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.run)
-        self.ends.append([self.next_end, run.task, run.run, how, ""])
+        self.ends.append([self.next_end, run.task, run.run, how, "" if how == "done" else self.saved(run)])
         self.next_end += 1
         self.record(self.id, "end %s run %d %s" % (run.task, run.run, how))
         if how == "done":
@@ -333,6 +334,12 @@
         self.ended.set()
         self.ended = asyncio.Event()
 
+    def saved(self, run):
+        """Returns the checkpoint of `run`: eight digits for the milliseconds of work done, and the state itself."""
+        size = run.step.get("save_bytes", 0)
+        done_ms = self.system.work_done_ms(run) // 500 * 500  # checkpointS
+        return ("%08x" % done_ms).ljust(size, "s") if size and done_ms else ""
+
     def extend(self, deadline):
         if deadline is not None:
             self.lease = max(self.lease, min(int(deadline), self.clock() + BOUNDS["holdMaxMs"]))
@@ -370,6 +377,8 @@
             return 409, {"clockMs": self.clock(), "reason": "late"}
         self.extend(deadline)
         self.runs[task] = Run(task, number, time.monotonic(), self.system.step_of(task))
+        if call.get("checkpointData"):
+            self.runs[task].resumed_ms = int(call["checkpointData"][:8], 16)
         self.record(self.id, "start %s run %d fence %d" % (task, number, call["fencingToken"]))
         self.system.started(self, self.runs[task], call)
         return 200, {"clockMs": self.clock()}
@@ -396,7 +405,7 @@
                 await asyncio.wait_for(self.ended.wait(), wait)
             except asyncio.TimeoutError:
                 pass
-        running = [[r.task, r.run, "", self.system.percent(self, r)] for r in self.runs.values()]
+        running = [[r.task, r.run, self.saved(r), self.system.percent(self, r)] for r in self.runs.values()]
         return 200, {"clockMs": self.clock(), "born": self.born, "running": running, "finished": self.ends[:500]}
 
     def used(self):
@@ -539,7 +548,7 @@
         """`steps` are those of the page, each with `work_ms` for the executors. Retries like a consumer."""
         self.jobs[job] = steps
         body = {"spec": "work of " + job,
-                "steps": [{k: v for k, v in step.items() if k not in ("work_ms",) and v} for step in steps]}
+                "steps": [{k: v for k, v in step.items() if k not in ("work_ms", "save_bytes") and v} for step in steps]}
         headers = {"Host": HOST, "X-Hickorystall-Credential": key, "Content-Type": "application/json",
                    "X-Hickorystall-Deadline-Ms": "3000"}
         for attempt in range(5):
@@ -579,16 +588,17 @@
         return self.group_begin.get(self.group_of(run)) if run.step.get("gang") else run.begin
 
     def percent(self, executor, run):
+        return min(100, 100 * self.work_done_ms(run) // run.step["work_ms"])
+
+    def work_done_ms(self, run):
         begin = self.begin_of(run)
-        if begin is None:
-            return 0
-        return min(100, int(100 * (time.monotonic() - begin) * 1000 / run.step["work_ms"]))
+        return 0 if begin is None else run.resumed_ms + int((time.monotonic() - begin) * 1000)
 
     def progress(self, executor, run, now):
         begin = self.begin_of(run)
         if begin is None:
             return "alone" if now - run.begin > BOUNDS["gangMs"] / 1000 else None
-        return "done" if (now - begin) * 1000 >= run.step["work_ms"] else None
+        return "done" if self.work_done_ms(run) >= run.step["work_ms"] else None
 
     def gang_left(self, executor, run, how):
         if not run.step.get("gang"):
