Add a review case: a frozen owner's idle channels keep the next owner from all executors

A former owner keeps its idle ones for 20 s after it has lost the ownership, so the next owner reaches no executor, all leases lapse, and nothing runs for 13 s.

--- a/review/standins-3/standins3.py
+++ b/review/standins-3/standins3.py
@@ -79,6 +79,7 @@
         self.writers = set()
         self.tasks = set()
         self.server = None
+        self.channels = None  # a semaphore where the number of channels that are served at a time is limited
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, self.port, reuse_address=True)
@@ -94,7 +95,11 @@
     async def serve(self, reader, writer):
         self.writers.add(writer)
         self.tasks.add(asyncio.current_task())
+        has_channel = False
         try:
+            if self.channels is not None:
+                await self.channels.acquire()  # Further channels wait until one of the others is closed.
+                has_channel = True
             while True:
                 message = await read_message(reader)
                 if message is None:
@@ -113,6 +118,8 @@
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            if has_channel:
+                self.channels.release()
             self.writers.discard(writer)
             self.tasks.discard(asyncio.current_task())
             writer.close()
